--- /dev/null
+++ b/internal/workflow/planner/bench_test.go
@@ -0,0 +1,174 @@
+package planner_test
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand"
+	"slices"
+	"testing"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/policy/placer"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// busyDay feeds a cell with more work than its workers can carry, as on the
+// heaviest days of the users' platform.
+type busyDay struct {
+	cell    *planner.Cell
+	random  *rand.Rand
+	now     cottonlanding.Millis
+	number  int
+	steps   map[cottonlanding.WorkflowID]cottonlanding.Step
+	workers []*busyWorker
+}
+
+// busyWorker is a worker that runs what it is told.
+type busyWorker struct {
+	id      cottonlanding.WorkerID
+	running []busyRun
+	ended   []cottonlanding.RunEnd
+	serial  uint64
+}
+
+type busyRun struct {
+	key  cottonlanding.RunKey
+	step cottonlanding.Step
+	left cottonlanding.Millis
+}
+
+const (
+	busyWorkers = 48
+	busyTurn    = 15 * cottonlanding.Millis(1)
+	busyLooks   = 2 // a second and worker
+)
+
+func newBusyDay() *busyDay {
+	placement, _ := placer.Get(placer.Fallback)
+	d := &busyDay{
+		cell: planner.New(planner.Setup{Partition: "W", Epoch: 1},
+			planner.Timing{Lease: 6000, CutOffGrace: 2000, StopTimeout: 900, Retention: 2 * cottonlanding.Minute},
+			planner.Policy{Placement: placement}, slog.New(slog.NewJSONHandler(io.Discard, nil))),
+		random: rand.New(rand.NewSource(1)),
+		now:    1000,
+		steps:  make(map[cottonlanding.WorkflowID]cottonlanding.Step),
+	}
+	d.cell.SetQueues(cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{
+		"Short":   {Name: "Short", Service: "S", Attempts: 3, Stretch: 1.5, LatencyTarget: 250},
+		"Filling": {Name: "Filling", Service: "S", Attempts: 3, Stretch: 2, LatencyTarget: 1000, Priority: 2},
+		"Lasting": {Name: "Lasting", Service: "S", Attempts: 3, Stretch: 2.2, LatencyTarget: 2500},
+	}})
+	var infos []cottonlanding.WorkerInfo
+	for number := range busyWorkers {
+		id := cottonlanding.WorkerID(fmt.Sprintf("w%02d", number))
+		d.workers = append(d.workers, &busyWorker{id: id})
+		infos = append(infos, cottonlanding.WorkerInfo{ID: id, Address: cottonlanding.Address(id), Service: "S", State: cottonlanding.Live,
+			Capacity: cottonlanding.Resources{CPU: 36000, Memory: 128 * cottonlanding.Gigabyte}})
+	}
+	d.cell.SetWorkers(infos, d.now)
+	for number := range 35 {
+		d.submit("Lasting", 1, cottonlanding.Step{Tasks: 6, Resources: need(6400, 13), Lasting: true, LatencyTarget: 24,
+			Image: cottonlanding.Image(fmt.Sprintf("s%d", number%5)), Estimate: 320})
+	}
+	return d
+}
+
+func need(cpu cottonlanding.Millicores, gigabytes int64) cottonlanding.Resources {
+	return cottonlanding.Resources{CPU: cpu, Memory: cottonlanding.Bytes(gigabytes) * cottonlanding.Gigabyte}
+}
+
+func (d *busyDay) submit(queue cottonlanding.QueueName, steps int, step cottonlanding.Step) {
+	d.number++
+	w := cottonlanding.Workflow{ID: cottonlanding.WorkflowID(fmt.Sprintf("%016x", d.number)), Queue: queue}
+	for at := range steps {
+		if at > 0 {
+			step.After = []int{at - 1}
+		}
+		w.Steps = append(w.Steps, step)
+	}
+	d.steps[w.ID] = step
+	d.cell.Submit(w, d.now, func(error) {})
+}
+
+// second plays one second.
+func (d *busyDay) second() {
+	turns := int(cottonlanding.Second / busyTurn)
+	for turn := range turns {
+		d.now += busyTurn
+		if turn%9 == 0 {
+			d.submit("Short", 2, cottonlanding.Step{Tasks: 6, Resources: need(2300, 4), Estimate: 640})
+		}
+		if turn%7 == 0 {
+			d.submit("Filling", 2, cottonlanding.Step{Tasks: 8, Resources: need(3500, 6), Estimate: 1700, Fills: true, Checkpoints: true,
+				Image: cottonlanding.Image(fmt.Sprintf("f%d", d.random.Intn(9)))})
+		}
+		for at, w := range d.workers {
+			if (turn+at)%(turns/busyLooks) == 0 {
+				d.look(w)
+			}
+		}
+		d.turn()
+	}
+}
+
+// look lets a worker tell what it runs.
+func (d *busyDay) look(w *busyWorker) {
+	report := cottonlanding.RunReport{Reading: cottonlanding.Reading(d.now)}
+	w.running = slices.DeleteFunc(w.running, func(r busyRun) bool {
+		if r.step.Lasting || r.left > d.now {
+			return false
+		}
+		w.end(r.key, cottonlanding.EndDone)
+		return true
+	})
+	for _, r := range w.running {
+		progress := cottonlanding.RunProgress{RunKey: r.key, Percent: 100, Used: r.step.Resources.CPU}
+		if r.step.Lasting {
+			progress.Tail = cottonlanding.Millis(6 + d.random.Intn(10))
+		}
+		report.Running = append(report.Running, progress)
+	}
+	report.Ended, w.ended = w.ended, nil
+	d.cell.NextLook(w.id, d.now)
+	d.cell.Looked(w.id, report, d.now, d.now)
+}
+
+func (w *busyWorker) end(key cottonlanding.RunKey, kind cottonlanding.EndKind) {
+	w.serial++
+	w.ended = append(w.ended, cottonlanding.RunEnd{Serial: w.serial, RunKey: key, Kind: kind})
+}
+
+// turn decides, commits and carries out the orders.
+func (d *busyDay) turn() {
+	d.cell.Decide(d.now, int64(d.now))
+	if plan := d.cell.Plan(d.now); plan != nil {
+		d.cell.Committed(plan, cottonlanding.Version(d.now))
+	}
+	for _, order := range d.cell.Orders(d.now) {
+		at := slices.IndexFunc(d.workers, func(w *busyWorker) bool { return w.id == order.Worker.ID })
+		d.workers[at].obey(order, d)
+		d.cell.Ordered(order, cottonlanding.Reading(d.now), nil, d.now)
+	}
+}
+
+func (w *busyWorker) obey(order planner.Order, d *busyDay) {
+	key := order.Start.RunKey
+	switch order.Verb {
+	case planner.VerbStart:
+		step := d.steps[key.Task.Workflow]
+		lasts := step.Estimate * cottonlanding.Millis(1+d.random.Intn(3))
+		w.running = append(w.running, busyRun{key, step, d.now + lasts})
+	case planner.VerbStop:
+		w.running = slices.DeleteFunc(w.running, func(r busyRun) bool { return r.key == key })
+		w.end(key, cottonlanding.EndStopped)
+	}
+}
+
+// BenchmarkBusySecond times the decisions of one second of an overloaded day.
+func BenchmarkBusySecond(b *testing.B) {
+	d := newBusyDay()
+	for range b.N {
+		d.second()
+	}
+}
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -58,6 +58,8 @@
 	inFlight *Plan
 	pressure *pressure
 	sequence int64
+	// summaryAt is when the use of the workers was last logged.
+	summaryAt cottonlanding.Millis
 	// superseded says that a worker has seen a newer owner.
 	superseded bool
 	counts     Counts
@@ -114,7 +116,7 @@
 	c.queues = queues
 	for _, j := range c.jobs {
 		if queue, known := queues.Queues[j.Queue]; known {
-			j.queue = queue
+			j.queue, j.lateAt = queue, 0
 		}
 	}
 }
--- a/internal/workflow/planner/gang.go
+++ b/internal/workflow/planner/gang.go
@@ -41,8 +41,7 @@
 	chosen := make([]*worker, 0, len(s.tasks))
 	defer func() {
 		for i, w := range chosen {
-			delete(w.runs, cottonlanding.RunKey{Task: s.tasks[i].ref})
-			w.measured = false
+			w.removeRun(cottonlanding.RunKey{Task: s.tasks[i].ref})
 		}
 	}()
 	for _, t := range s.tasks {
@@ -51,12 +50,11 @@
 			return false
 		}
 		key := cottonlanding.RunKey{Task: t.ref}
-		w.runs[key] = &run{RunKey: key, worker: w, step: s.Step, paceGoal: fullPace}
-		w.measured = false
+		w.addRun(&run{RunKey: key, worker: w, step: s.Step, paceGoal: fullPace})
 		chosen = append(chosen, w)
 	}
 	for i, t := range s.tasks {
-		delete(chosen[i].runs, cottonlanding.RunKey{Task: t.ref})
+		chosen[i].removeRun(cottonlanding.RunKey{Task: t.ref})
 		c.assign(t, chosen[i], number, now)
 	}
 	chosen = nil
--- a/internal/workflow/planner/health.go
+++ b/internal/workflow/planner/health.go
@@ -59,7 +59,7 @@
 
 // moveStuck stops the runs that stand still, so that they are tried elsewhere.
 func (c *Cell) moveStuck(w *worker, now cottonlanding.Millis) {
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.runs.all() {
 		if r.task == nil || r.stopping || r.phase != started || r.pace < fullPace || r.paceGoal < fullPace {
 			continue
 		}
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -19,8 +19,9 @@
 	// sequence orders jobs by acceptance.
 	sequence int64
 	rounds   map[int]*round
-	// chain is the longest chain of estimates, zero before it was asked for.
-	chain cottonlanding.Millis
+	// lateAt is when the workflow can't be done in its time any more, zero before it
+	// was asked for and when it must be worked out anew.
+	lateAt cottonlanding.Millis
 	// begun says that a task of the job has been placed once.
 	begun bool
 	// committed says that the job's rows exist, shown is the committed state.
@@ -46,6 +47,8 @@
 	ready bool
 	// load is that of a serving step.
 	load ownLoad
+	// noRoomAt is when room may be made for the step again.
+	noRoomAt cottonlanding.Millis
 	// toldAt is when it was last logged why the step waits.
 	toldAt cottonlanding.Millis
 }
@@ -284,7 +287,13 @@
 // One that lasts counts as late once its latency target has passed: it can wait,
 // while short ones of the same priority are worth most if they are done soon.
 func (j *job) lateness(now cottonlanding.Millis) int {
-	if j.queue.Stretch <= 0 || j.Schedule.Rounds > 0 || now-j.accepted+j.chainLeft() <= j.objective() {
+	if j.queue.Stretch <= 0 || j.Schedule.Rounds > 0 {
+		return 0
+	}
+	if j.lateAt == 0 {
+		j.lateAt = j.accepted + j.objective() - j.chainLeft()
+	}
+	if now <= j.lateAt {
 		return 0
 	}
 	return 1
@@ -292,10 +301,8 @@
 
 // objective is the time in which the workflow should be done.
 func (j *job) objective() cottonlanding.Millis {
-	if j.chain == 0 {
-		j.chain = j.longestChain(func(*stage) bool { return true })
-	}
-	return cottonlanding.Millis(j.queue.Stretch*float64(j.chain)) + j.queue.LatencyTarget
+	chain := j.longestChain(func(*stage) bool { return true })
+	return cottonlanding.Millis(j.queue.Stretch*float64(chain)) + j.queue.LatencyTarget
 }
 
 // chainLeft is the longest chain of estimates through the steps that are not done.
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -90,7 +90,7 @@
 		key := cottonlanding.RunKey{Task: t.ref, Number: t.number}
 		t.run = &run{RunKey: key, task: t, worker: w, step: t.stage.Step, phase: sent, doubtful: true,
 			pace: fullPace, paceGoal: fullPace, placedAt: now, moved: now}
-		w.runs[key] = t.run
+		w.addRun(t.run)
 		if t.job.state.Final() {
 			c.stop(t.run, "the workflow ended")
 		}
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -44,7 +44,7 @@
 		return next, true
 	}
 	next.Look = cottonlanding.Look{Epoch: c.setup.Epoch, Seen: w.seen}
-	if len(w.runs) > 0 {
+	if w.runs.size() > 0 {
 		next.Look.LeaseUntil = c.leaseUntil(w, now)
 	}
 	if w.reading > 0 && !unnoted {
@@ -52,7 +52,7 @@
 		switch {
 		case w.tense:
 			next.Look.Wait = tenseWait
-		case len(w.runs) > 0:
+		case w.runs.size() > 0:
 			next.Look.Wait = busyWait
 		}
 	}
@@ -73,6 +73,7 @@
 	}
 	w.failed = false
 	w.answered = now
+	w.changed()
 	w.read(report.Reading, now)
 	for _, end := range report.Ended {
 		c.noteEnd(w, end, now)
@@ -95,7 +96,7 @@
 		return
 	}
 	if !w.failed {
-		c.log.Warn("worker does not answer", "Worker", id, "Runs", len(w.runs), "Error", cause)
+		c.log.Warn("worker does not answer", "Worker", id, "Runs", w.runs.size(), "Error", cause)
 	}
 	w.failed = true
 	w.nextLook = now + retryPause
@@ -106,7 +107,7 @@
 		c.loseWorker(w, now, "another life answered")
 		w.listed = false
 	}
-	if !w.listed && len(w.runs) == 0 {
+	if !w.listed && w.runs.size() == 0 {
 		c.forgetWorker(id)
 	}
 }
@@ -116,7 +117,7 @@
 	listed := make(map[cottonlanding.RunKey]bool, len(report.Running))
 	for _, progress := range report.Running {
 		listed[progress.RunKey] = true
-		r := w.runs[progress.RunKey]
+		r := w.runs.get(progress.RunKey)
 		if r == nil {
 			r = c.adoptOrphan(w, progress.RunKey)
 		}
@@ -125,7 +126,7 @@
 	if len(report.Ended) >= endsPerAnswer {
 		return // other ends may have been left out
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.runs.snapshot() {
 		if listed[r.RunKey] {
 			continue
 		}
@@ -146,7 +147,7 @@
 			r.step = t.stage.Step
 		}
 	}
-	w.runs[key] = r
+	w.addRun(r)
 	c.log.Warn("run that no task asks for", "Task", key.Task.String(), "Run", key.Number, "Worker", w.info.ID)
 	c.stop(r, "no task asks for it")
 	return r
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -34,19 +34,33 @@
 func (c *Cell) Orders(now cottonlanding.Millis) []Order {
 	var out []Order
 	for _, w := range c.sortedWorkers() {
-		if len(w.runs) == 0 {
+		if !w.ordersDue {
 			continue
 		}
-		for _, r := range w.sortedRuns() {
+		w.ordersDue = false
+		for _, r := range w.runs.all() {
 			if order, due := c.orderFor(w, r, now); due {
 				r.ordered = true
 				out = append(out, order)
 			}
+			w.ordersDue = w.ordersDue || r.needsOrder()
 		}
 	}
 	return out
 }
 
+// needsOrder reports whether the run needs an order that can't be sent yet. What
+// changes that otherwise makes the worker's orders due again.
+func (r *run) needsOrder() bool {
+	switch {
+	case r.ordered || r.phase == planned && !r.stopping:
+		return false // an answer or a commit comes first
+	case r.stopping, r.phase < started:
+		return true
+	}
+	return r.pace != r.paceGoal
+}
+
 func (c *Cell) orderFor(w *worker, r *run, now cottonlanding.Millis) (Order, bool) {
 	if r.ordered || now < r.nextTry || w.reading == 0 {
 		return Order{}, false
@@ -80,7 +94,8 @@
 		return
 	}
 	w.read(reading, now)
-	r := w.runs[order.Start.RunKey]
+	w.ordersDue = true
+	r := w.runs.get(order.Start.RunKey)
 	if r == nil {
 		return
 	}
--- a/internal/workflow/planner/pace.go
+++ b/internal/workflow/planner/pace.go
@@ -100,6 +100,7 @@
 			f.paceSince = now
 		}
 		f.paceGoal = pace
+		f.worker.ordersDue = true
 	}
 	if f.paceGoal == 0 && now-f.paceSince > pacePatience && f.task != nil && c.betterPlace(f, now) {
 		c.stop(f, "it disturbs what serves beside it")
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -17,6 +17,8 @@
 	// starvedAfter is how long a workflow of filling tasks may have nothing running
 	// while there is room: it must not come to three seconds.
 	starvedAfter = 1500 * cottonlanding.Millis(1)
+	// noRoomPause is the pause between two attempts to make room for a step.
+	noRoomPause = 100 * cottonlanding.Millis(1)
 	// maxPlacements bounds the decisions of one call, so that their commit stays small.
 	maxPlacements = 400
 )
@@ -30,15 +32,13 @@
 // rounds that are due, and places tasks. wall is the time of day in milliseconds
 // since 1970.
 func (c *Cell) Decide(now cottonlanding.Millis, wall int64) {
-	for _, w := range c.workers {
-		w.measured = false
-	}
 	c.lapse(now)
 	c.dropUnsent(now)
 	c.leaveDraining(now)
 	c.beginRounds(now, wall)
 	c.place(now)
 	c.prune(now)
+	c.logSummary(now)
 }
 
 // beginRounds makes the rounds of schedules whose time has come.
@@ -63,7 +63,7 @@
 		if w.info.State != cottonlanding.Leaving || !w.listed {
 			continue
 		}
-		for _, r := range w.sortedRuns() {
+		for _, r := range w.runs.all() {
 			if r.task != nil && !r.stopping && (r.step.Lasting || r.step.Checkpoints) {
 				c.stop(r, "its worker is leaving")
 			}
@@ -74,6 +74,7 @@
 // place gives waiting tasks to workers, urgent queues first.
 func (c *Cell) place(now cottonlanding.Millis) {
 	placed := 0
+	var misses missList
 	for _, s := range c.waitingStages(now) {
 		if placed >= maxPlacements {
 			return
@@ -82,24 +83,50 @@
 			placed += c.placeGang(s, now)
 			continue
 		}
-		for _, t := range s.tasks {
-			if t.state != taskWaiting {
-				continue
-			}
-			w := c.pick(t, now)
-			if w == nil {
-				w = c.pickStarved(t, now)
-			}
-			if w == nil {
-				c.makeRoom(t, now)
-				c.keepRoom(t, now)
-				c.tellWaiting(t, now)
-				break // the others of the step need the same
-			}
-			c.assign(t, w, t.number+1, now)
-			placed++
+		placed += c.placeStage(s, &misses, now)
+	}
+}
+
+// placeStage gives the waiting tasks of a step to workers, and returns how many.
+func (c *Cell) placeStage(s *stage, misses *missList, now cottonlanding.Millis) int {
+	placed := 0
+	for _, t := range s.tasks {
+		if t.state != taskWaiting {
+			continue
 		}
+		w := c.pickUnlessMissed(t, misses, now)
+		if w == nil {
+			c.noRoom(t, now)
+			return placed // the others of the step need the same
+		}
+		c.assign(t, w, t.number+1, now)
+		placed++
+	}
+	return placed
+}
+
+// pickUnlessMissed returns the worker for a task, without looking when a task
+// that needs no more found none in this pass.
+func (c *Cell) pickUnlessMissed(t *task, misses *missList, now cottonlanding.Millis) *worker {
+	if !misses.cover(t) {
+		if w := c.pick(t, now); w != nil {
+			return w
+		}
+		misses.add(t)
+	}
+	return c.pickStarved(t, now)
+}
+
+// noRoom looks for what can be done for a task that found no worker, from time
+// to time: the workers change little in between.
+func (c *Cell) noRoom(t *task, now cottonlanding.Millis) {
+	if now < t.stage.noRoomAt {
+		return
 	}
+	t.stage.noRoomAt = now + noRoomPause
+	c.makeRoom(t, now)
+	c.keepRoom(t, now)
+	c.tellWaiting(t, now)
 }
 
 // assign plans a run; it is sent once the plan is committed.
@@ -108,8 +135,7 @@
 	t.roomUntil = 0
 	key := cottonlanding.RunKey{Task: t.ref, Number: number}
 	t.run = &run{RunKey: key, task: t, worker: w, step: t.stage.Step, pace: fullPace, paceGoal: fullPace, placedAt: now, moved: now}
-	w.runs[key] = t.run
-	w.measured = false
+	w.addRun(t.run)
 	if w.keptFor == t {
 		w.keptFor = nil
 	}
@@ -206,7 +232,8 @@
 // countOf counts the runs of a task's step and round.
 func (w *worker) countOf(ref cottonlanding.TaskRef) int {
 	count := 0
-	for key := range w.runs {
+	for _, r := range w.runs.all() {
+		key := r.RunKey
 		if key.Task.Workflow == ref.Workflow && key.Task.Round == ref.Round && key.Task.Step == ref.Step {
 			count++
 		}
@@ -217,7 +244,7 @@
 // spare returns the processors that are expected to be left by all runs.
 func (w *worker) spare() cottonlanding.Millicores {
 	spare := float64(w.info.Capacity.CPU)
-	for _, r := range w.runs {
+	for _, r := range w.runs.all() {
 		cpu := float64(r.step.Resources.CPU)
 		switch {
 		case r.step.Fills:
@@ -247,7 +274,7 @@
 	}
 	views := make([]cottonlanding.WorkerView, len(candidates))
 	for i, w := range candidates {
-		views[i] = cottonlanding.WorkerView{ID: w.info.ID, Rack: w.info.Rack, Capacity: w.info.Capacity, Free: c.room(w, now).free, Tasks: len(w.runs)}
+		views[i] = cottonlanding.WorkerView{ID: w.info.ID, Rack: w.info.Rack, Capacity: w.info.Capacity, Free: c.room(w, now).free, Tasks: w.runs.size()}
 		switch {
 		case t.stage.Fills:
 			views[i].Free.CPU = c.fillRoom(w, t.stage.Step, now)
@@ -280,7 +307,7 @@
 // nothing running for a while: the one that bears it best. It is slowed there as
 // far as the serving tasks need it.
 func (c *Cell) pickStarved(t *task, now cottonlanding.Millis) *worker {
-	if !t.stage.Fills || now-t.since < starvedAfter || t.job.anyRun() {
+	if !t.stage.Fills || now-t.since < starvedAfter || now < t.stage.noRoomAt || t.job.anyRun() {
 		return nil
 	}
 	var best *worker
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -182,6 +182,7 @@
 	for _, r := range plan.runs {
 		if r.phase == planned {
 			r.phase = cleared
+			r.worker.ordersDue = true
 		}
 	}
 	c.noteSeen(plan.seen)
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -83,7 +83,7 @@
 // will be by itself.
 func (w *worker) passing() cottonlanding.Resources {
 	room := w.info.Capacity
-	for _, r := range w.runs {
+	for _, r := range w.runs.all() {
 		if r.step.Lasting && !r.stopping {
 			room = room.Minus(r.step.Reserved())
 		}
@@ -117,7 +117,7 @@
 func (c *Cell) victims(t *task, w *worker, now cottonlanding.Millis) ([]*run, float64) {
 	var candidates []*run
 	free := w.free()
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.runs.all() {
 		if r.stopping {
 			free = free.Plus(r.step.Reserved()) // it gives way already
 			continue
--- a/internal/workflow/planner/pressure.go
+++ b/internal/workflow/planner/pressure.go
@@ -202,7 +202,7 @@
 
 // servingAndFilling returns the runs on a worker that serve and those that fill.
 func (w *worker) servingAndFilling() (serving, filling []*run) {
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.runs.all() {
 		switch {
 		case r.task == nil || r.stopping:
 		case r.step.Fills:
--- a/internal/workflow/planner/room.go
+++ b/internal/workflow/planner/room.go
@@ -9,7 +9,7 @@
 // free returns the room that no run holds.
 func (w *worker) free() cottonlanding.Resources {
 	free := w.info.Capacity
-	for _, r := range w.runs {
+	for _, r := range w.runs.all() {
 		free = free.Minus(r.step.Reserved())
 	}
 	return free
@@ -34,18 +34,22 @@
 	return slices.ContainsFunc(r.slacks, func(s imageSlack) bool { return s.image == image })
 }
 
-// room returns what is left of a worker, measured once for each pass.
-func (c *Cell) room(w *worker, now cottonlanding.Millis) room {
-	if w.measured {
-		return w.room
+// roomAge is how old a measured room may be: the loads of serving tasks move by
+// less than a hundredth meanwhile. What changes the runs makes it be measured at once.
+const roomAge = 100 * cottonlanding.Millis(1)
+
+// room returns what is left of a worker.
+func (c *Cell) room(w *worker, now cottonlanding.Millis) *room {
+	if w.measuredAt > 0 && now-w.measuredAt < roomAge {
+		return &w.room
 	}
-	w.measured = true
+	w.measuredAt = now
 	w.room = room{free: w.free(), spare: w.spare()}
 	serving, filling := w.servingAndFilling()
 	for _, s := range serving {
 		w.room.note(s.step.Image, c.pressure.slack(s, filling, w.info.Capacity.CPU, now))
 	}
-	return w.room
+	return &w.room
 }
 
 // note keeps the least slack of each image.
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -17,13 +17,13 @@
 		w.unnotedSince = now
 	}
 	w.noted = end.Serial
-	r := w.runs[end.RunKey]
+	r := w.runs.get(end.RunKey)
 	if r == nil {
 		c.log.Info("end of an unknown run", "Task", end.Task.String(), "Run", end.Number, "Worker", w.info.ID, "End", end.Kind)
 		return
 	}
 	c.counts.Ends[end.Kind]++
-	delete(w.runs, end.RunKey)
+	w.removeRun(end.RunKey)
 	t := r.task
 	if t == nil || t.run != r {
 		return
@@ -63,6 +63,7 @@
 		}
 	}
 	j := t.job
+	j.lateAt = 0
 	j.rounds[t.ref.Round].unlock(now)
 	c.touch(j)
 	if j.finished() {
@@ -103,7 +104,7 @@
 
 // vanish ends a run that surely doesn't go on and whose end nobody lists.
 func (c *Cell) vanish(r *run, now cottonlanding.Millis) {
-	delete(r.worker.runs, r.RunKey)
+	r.worker.removeRun(r.RunKey)
 	t := r.task
 	if t == nil || t.run != r {
 		return
@@ -120,13 +121,17 @@
 		return
 	}
 	r.stopping, r.stopReason = true, reason
+	r.worker.changed()
 	c.log.Info("run to be stopped", "Task", r.Task.String(), "Run", r.Number, "Worker", r.worker.info.ID, "Reason", reason)
 }
 
 // dropUnsent ends the runs that are to be stopped and were never sent.
 func (c *Cell) dropUnsent(now cottonlanding.Millis) {
 	for _, w := range c.sortedWorkers() {
-		for _, r := range w.runs {
+		if !w.ordersDue {
+			continue
+		}
+		for _, r := range w.runs.snapshot() {
 			if r.stopping && r.phase < sent && !r.ordered {
 				c.vanish(r, now)
 			}
@@ -137,10 +142,10 @@
 // lapse ends the runs on workers whose lease surely ran out.
 func (c *Cell) lapse(now cottonlanding.Millis) {
 	for _, w := range c.sortedWorkers() {
-		if len(w.runs) > 0 && now > w.bound {
+		if w.runs.size() > 0 && now > w.bound {
 			c.loseWorker(w, now, "its lease surely ran out")
 		}
-		if !w.listed && len(w.runs) == 0 {
+		if !w.listed && w.runs.size() == 0 {
 			c.forgetWorker(w.info.ID)
 		}
 	}
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -1,9 +1,6 @@
 package planner
 
 import (
-	"cmp"
-	"slices"
-
 	"github.com/cottonlanding/cottonlanding"
 )
 
@@ -87,7 +84,9 @@
 type worker struct {
 	info   cottonlanding.WorkerInfo
 	listed bool
-	runs   map[cottonlanding.RunKey]*run
+	runs   runSet
+	// ordersDue says that a run may need an order, now or once a pause has passed.
+	ordersDue bool
 
 	// reading is the worker's clock as of the answer that arrived at readAt.
 	reading cottonlanding.Reading
@@ -116,15 +115,15 @@
 	filledAt cottonlanding.Millis
 	// tense says that a serving task is over its aim.
 	tense bool
-	// measured says that room is as runs have it now.
-	measured bool
-	room     room
+	// room is what was left at measuredAt; zero says that it must be measured anew.
+	room       room
+	measuredAt cottonlanding.Millis
 	// blockedUntil is when the worker may get a start again after it refused one.
 	blockedUntil cottonlanding.Millis
 }
 
 func (c *Cell) addWorker(info cottonlanding.WorkerInfo, now cottonlanding.Millis) *worker {
-	w := &worker{info: info, runs: make(map[cottonlanding.RunKey]*run)}
+	w := &worker{info: info, runs: newRunSet()}
 	w.bound = max(now, c.setup.BeforeUntil+stretched(c.timing.Lease))
 	c.workers[info.ID] = w
 	c.sorted = nil
@@ -153,10 +152,11 @@
 			c.log.Info("worker changed", "Worker", info.ID, "From", w.info.State, "To", info.State)
 		}
 		w.info = info
+		w.changed()
 	}
 	for _, w := range c.sortedWorkers() {
 		if w.listed && !listed[w.info.ID] {
-			c.log.Info("worker no longer listed", "Worker", w.info.ID, "Runs", len(w.runs))
+			c.log.Info("worker no longer listed", "Worker", w.info.ID, "Runs", w.runs.size())
 		}
 		w.listed = listed[w.info.ID]
 		if w.listed {
@@ -165,7 +165,7 @@
 		if successor := addresses[w.info.Address]; successor != "" && successor != w.info.ID {
 			c.loseWorker(w, now, "another life has its address")
 		}
-		if len(w.runs) == 0 {
+		if w.runs.size() == 0 {
 			c.forgetWorker(w.info.ID)
 		}
 	}
@@ -178,33 +178,31 @@
 
 // loseWorker ends all runs of a life that has surely ended.
 func (c *Cell) loseWorker(w *worker, now cottonlanding.Millis, why string) {
-	if len(w.runs) > 0 {
-		c.log.Warn("worker lost", "Worker", w.info.ID, "Runs", len(w.runs), "Why", why)
+	if w.runs.size() > 0 {
+		c.log.Warn("worker lost", "Worker", w.info.ID, "Runs", w.runs.size(), "Why", why)
 	}
-	for _, r := range w.sortedRuns() {
+	for _, r := range w.runs.snapshot() {
 		c.counts.Lost++
 		c.vanish(r, now)
 	}
 }
 
-// sortedRuns returns the runs in order, so that decisions repeat.
-func (w *worker) sortedRuns() []*run {
-	out := make([]*run, 0, len(w.runs))
-	for _, r := range w.runs {
-		out = append(out, r)
-	}
-	slices.SortFunc(out, func(a, b *run) int { return compareKeys(a.RunKey, b.RunKey) })
-	return out
+// addRun puts a run on the worker.
+func (w *worker) addRun(r *run) {
+	w.runs.add(r)
+	w.changed()
+}
+
+// removeRun takes a run off the worker.
+func (w *worker) removeRun(key cottonlanding.RunKey) {
+	w.runs.remove(key)
+	w.changed()
 }
 
-func compareKeys(a, b cottonlanding.RunKey) int {
-	return cmp.Or(
-		cmp.Compare(a.Task.Workflow, b.Task.Workflow),
-		cmp.Compare(a.Task.Round, b.Task.Round),
-		cmp.Compare(a.Task.Step, b.Task.Step),
-		cmp.Compare(a.Task.Index, b.Task.Index),
-		cmp.Compare(a.Number, b.Number),
-	)
+// changed notes that the worker's room or orders must be looked at anew.
+func (w *worker) changed() {
+	w.measuredAt = 0
+	w.ordersDue = true
 }
 
 // usable reports whether the worker may get a new run.
