Filling tasks that stand still keep their claim on the processors

Cause: a worker's spare processors were counted with the paces that filling tasks have at the moment. Workflows that are done one after the other are in time, those that all run at a third of their speed are not.

Change: spare counts filling tasks at full pace. The model in the test renews the worker's lease now, as the driver does; its tasks lapsed every six seconds.

--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -241,15 +241,14 @@
 	return count
 }
 
-// spare returns the processors that are expected to be left by all runs.
+// spare returns the processors that are expected to be left by all runs. Filling
+// tasks count as if they worked at full pace, also while they stand still: they go
+// on when the load falls, and tasks placed over them would make all of them late.
 func (w *worker) spare() cottonlanding.Millicores {
 	spare := float64(w.info.Capacity.CPU)
 	for _, r := range w.runs.all() {
 		cpu := float64(r.step.Resources.CPU)
-		switch {
-		case r.step.Fills:
-			cpu *= float64(r.paceGoal) / fullPace
-		case r.step.LatencyTarget > 0:
+		if r.step.LatencyTarget > 0 && !r.step.Fills {
 			cpu *= r.servingUse()
 		}
 		spare -= cpu
--- a/internal/workflow/planner/pressure_test.go
+++ b/internal/workflow/planner/pressure_test.go
@@ -118,6 +118,7 @@
 }
 
 func (s *shared) look() {
+	s.cell.NextLook("w", s.now) // extends the lease
 	report := cottonlanding.RunReport{Reading: cottonlanding.Reading(s.now)}
 	for key, pace := range s.runs {
 		progress := cottonlanding.RunProgress{RunKey: key, Percent: 100}
@@ -179,3 +180,33 @@
 		require.Less(t, s.now-began, 3*cottonlanding.Second, "nothing runs although there is room")
 	}
 }
+
+// TestPausedFillersKeepTheirClaim checks that filling tasks which stand still count
+// as if they worked when others are placed: they go on once the load falls, and all
+// of them at part of their speed are late.
+func TestPausedFillersKeepTheirClaim(t *testing.T) {
+	s := share(t, map[cottonlanding.Image]float64{"heavy": 4, "light": 0.1})
+	s.submit("serve", "Serve", cottonlanding.Step{Tasks: 1, Resources: cottonlanding.Resources{CPU: 6000}, Lasting: true, Image: "serve", LatencyTarget: target})
+	fill := cottonlanding.Step{Tasks: 20, Resources: cottonlanding.Resources{CPU: 3500}, Estimate: fillTime, Fills: true, Checkpoints: true}
+	s.play(60*cottonlanding.Second, func(number int) {
+		fill.Image = "heavy"
+		if number%20 == 19 && number < 120 {
+			step := fill
+			step.Tasks = 1 // with nothing running, each is placed once it has waited for long
+			s.submit(cottonlanding.WorkflowID(fmt.Sprintf("h%d", number)), "Fill", step)
+		}
+		if number == 200 {
+			fill.Image = "light"
+			s.submit("light", "Fill", fill)
+		}
+	})
+	light := 0
+	for key := range s.runs {
+		if key.Task.Workflow == "light" {
+			light++
+		}
+	}
+	const fit = 32000 / 3500
+	require.Positive(t, light)
+	require.LessOrEqual(t, len(s.runs)-1, fit, "more filling tasks than there are processors for")
+}
