A new owner sets the paces it finds and knows what was learnt of images

What the owner before had stopped stood still for four seconds, was then taken for stuck, stopped, and held against its worker. The new owner also knew nothing of the images, so that it took every filling image for a heavy one: the second dump shows light ones (weight 0.33) at pace 0.

Ruled out: starts that had not arrived (the runs were listed by their workers); too little room (spare processors on the same workers).

Change: the pace of a filling task that a new owner finds is unknown until it was ordered; one that got no answer is unknown too, and ordered once more after 12.5 s, since such orders are carried out up to 12 s late. The weights of images are written to one row every three seconds, in a transaction that is sent anyway, and read by the successor.

TestNewOwnerSetsPaces: paces 86, 0, 0, 0 after three seconds before, all 100 after.

--- a/internal/workflow/driver/load.go
+++ b/internal/workflow/driver/load.go
@@ -38,6 +38,10 @@
 	if err != nil {
 		return nil, err
 	}
+	learnt, err := d.read(planner.LearntKey(d.setup.Partition))
+	if err != nil {
+		return nil, err
+	}
 	cell := planner.New(d.setup, d.timing, d.policy, d.deps.Log)
 	now := d.deps.Clock.Now()
 	cell.SetQueues(queues)
@@ -45,10 +49,21 @@
 	if err := cell.Load(specs, states, now); err != nil {
 		return nil, err
 	}
+	for _, row := range learnt {
+		if err := cell.LoadLearnt(row); err != nil {
+			d.deps.Log.Warn("what was learnt of images is lost", "Error", err) // it is learnt anew
+		}
+	}
 	d.deps.Log.Info("workflows loaded", "Workflows", len(specs), "Workers", len(workers), "Epoch", d.setup.Epoch, "After", now-began)
 	return cell, nil
 }
 
+func (d *Driver) read(key cottonlanding.Key) ([]cottonlanding.Row, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, tableTimeout.Duration())
+	defer cancel()
+	return d.deps.Table.Read(ctx, key)
+}
+
 func (d *Driver) scan(prefix cottonlanding.Key) ([]cottonlanding.Row, error) {
 	var out []cottonlanding.Row
 	after := cottonlanding.Key("")
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -57,7 +57,10 @@
 	replies  map[cottonlanding.WorkflowID][]func(error)
 	inFlight *Plan
 	pressure *pressure
-	sequence int64
+	// learntAt is when what was learnt was last written, learntVersion that row's version.
+	learntAt      cottonlanding.Millis
+	learntVersion cottonlanding.Version
+	sequence      int64
 	// summaryAt is when the use of the workers was last logged.
 	summaryAt cottonlanding.Millis
 	// superseded says that a worker has seen a newer owner.
--- /dev/null
+++ b/internal/workflow/planner/learnt.go
@@ -0,0 +1,108 @@
+package planner
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+const (
+	// learntEvery is how often what was learnt of images is written down. A pair is
+	// known after some three seconds, so that a successor lacks little.
+	learntEvery = 3 * cottonlanding.Second
+	// mostLearnt bounds the row, in bytes, well below the 64 KiB that the table takes.
+	mostLearnt = 32 << 10
+	// inheritedDoubt is the least doubt of a weight that a predecessor learnt: the
+	// covariances between weights aren't written down.
+	inheritedDoubt = 0.15
+)
+
+// learntRow is what an owner has learnt of how images disturb each other, for
+// its successor.
+type learntRow struct {
+	Serving []servingRow
+}
+
+type servingRow struct {
+	Image cottonlanding.Image
+	// Base is the shortest tail seen.
+	Base  cottonlanding.Millis
+	Pairs []pairRow
+}
+
+// pairRow holds what a filling image does to a serving one.
+type pairRow struct {
+	Image  cottonlanding.Image
+	Weight float64
+	Doubt  float64
+}
+
+// LearntKey returns the key of the row that holds what was learnt of images.
+func LearntKey(partition cottonlanding.Partition) cottonlanding.Key {
+	return partition.Key("Learnt/Images")
+}
+
+// row returns what was learnt, in an order that repeats.
+func (p *pressure) row() learntRow {
+	var out learntRow
+	for image, known := range p.weights {
+		serving := servingRow{Image: image, Base: p.base[image]}
+		for filling, at := range known.index {
+			serving.Pairs = append(serving.Pairs, pairRow{filling, rounded(known.weights[at]), rounded(math.Sqrt(known.doubt[at][at]))})
+		}
+		slices.SortFunc(serving.Pairs, func(a, b pairRow) int { return cmp.Compare(a.Image, b.Image) })
+		out.Serving = append(out.Serving, serving)
+	}
+	slices.SortFunc(out.Serving, func(a, b servingRow) int { return cmp.Compare(a.Image, b.Image) })
+	return out
+}
+
+// rounded keeps two digits behind the point, which is finer than any doubt.
+func rounded(value float64) float64 { return math.Round(value*100) / 100 }
+
+// inherit takes in what a predecessor has learnt.
+func (p *pressure) inherit(row learntRow) {
+	for _, serving := range row.Serving {
+		known := newEstimate()
+		for _, pair := range serving.Pairs {
+			known.add(pair.Image)
+			at := known.index[pair.Image]
+			doubt := max(pair.Doubt, inheritedDoubt)
+			known.weights[at], known.doubt[at][at] = pair.Weight, doubt*doubt
+		}
+		p.weights[serving.Image] = known
+		if serving.Base > 0 {
+			p.base[serving.Image] = serving.Base
+		}
+	}
+}
+
+// LoadLearnt takes in the row that a predecessor left. Without it all is learnt anew.
+func (c *Cell) LoadLearnt(row cottonlanding.Row) error {
+	c.learntVersion = row.Version // also of a row that can't be read: it is replaced
+	var learnt learntRow
+	if err := json.Unmarshal(row.Value, &learnt); err != nil {
+		return fmt.Errorf("row %s: %w", row.Key, err)
+	}
+	c.pressure.inherit(learnt)
+	return nil
+}
+
+// planLearnt adds what was learnt to a plan, from time to time.
+func (c *Cell) planLearnt(plan *Plan, now cottonlanding.Millis) {
+	if now-c.learntAt < learntEvery || len(c.pressure.weights) == 0 {
+		return
+	}
+	c.learntAt = now
+	value := encode(c.pressure.row())
+	if len(value) > mostLearnt {
+		c.log.Warn("too much was learnt of images to write it down", "Bytes", len(value), "Most", mostLearnt)
+		return
+	}
+	plan.learnt = true
+	plan.Writes = append(plan.Writes, cottonlanding.Write{Key: LearntKey(c.setup.Partition), Expect: c.learntVersion, Value: value})
+}
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -87,9 +87,13 @@
 		if w == nil {
 			w = c.addWorker(cottonlanding.WorkerInfo{ID: t.worker}, now)
 		}
+		pace := fullPace
+		if t.stage.Fills {
+			pace = unknownPace // the owner before may have slowed it
+		}
 		key := cottonlanding.RunKey{Task: t.ref, Number: t.number}
 		t.run = &run{RunKey: key, task: t, worker: w, step: t.stage.Step, phase: sent, doubtful: true,
-			pace: fullPace, paceGoal: fullPace, placedAt: now, moved: now}
+			pace: pace, paceGoal: fullPace, placedAt: now, moved: now}
 		w.addRun(t.run)
 		if t.job.state.Final() {
 			c.stop(t.run, "the workflow ended")
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -112,10 +112,21 @@
 		c.startAnswered(w, r, err, now)
 	case order.Verb == VerbStop:
 		c.stopAnswered(r, err, now)
-	case err == nil:
-		r.pace = order.Percent
 	default:
-		r.nextTry = now + orderPause
+		r.paceAnswered(order.Percent, err, now)
+	}
+}
+
+// paceAnswered takes in what became of an order of pace. One without an answer may
+// be carried out after newer ones, so that the pace is ordered again later.
+func (r *run) paceAnswered(percent int, err error, now cottonlanding.Millis) {
+	if err == nil {
+		r.pace = percent
+		return
+	}
+	r.pace, r.nextTry = unknownPace, now+orderPause
+	if errors.Is(err, cottonlanding.ErrAmbiguous) {
+		r.reaffirmAt = now + reaffirmAfter
 	}
 }
 
--- a/internal/workflow/planner/pace.go
+++ b/internal/workflow/planner/pace.go
@@ -10,6 +10,12 @@
 const (
 	// fullPace is the pace of a run that nobody slowed, in percent.
 	fullPace = 100
+	// unknownPace is that of a filling run whose last order of pace may not have
+	// arrived, or came from an owner before.
+	unknownPace = -1
+	// reaffirmAfter is when a pace is ordered once more after an order got no answer:
+	// workers were seen to carry out such orders up to twelve seconds later.
+	reaffirmAfter = 12500 * cottonlanding.Millis(1)
 	// paceStep is the least change of pace that is worth an order.
 	paceStep = 15
 	// leastPace is the lowest pace above standing still.
@@ -45,6 +51,7 @@
 		return cmp.Compare(c.worstWeight(a, serving), c.worstWeight(b, serving))
 	})
 	for _, f := range filling {
+		f.reaffirmPace(now)
 		share := f.share(w.info.Capacity.CPU)
 		part := 1.0
 		for i, s := range serving {
@@ -57,6 +64,15 @@
 	}
 }
 
+// reaffirmPace has the pace ordered once more when a late copy of an older order
+// may have changed it.
+func (r *run) reaffirmPace(now cottonlanding.Millis) {
+	if r.reaffirmAt > 0 && now >= r.reaffirmAt {
+		r.pace, r.reaffirmAt = unknownPace, 0
+		r.worker.ordersDue = true
+	}
+}
+
 // budget is how much busier filling tasks may make one serving task: heavy ones,
 // and light ones by themselves.
 type budget struct {
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -62,6 +62,8 @@
 	replies []func(error)
 	// seen holds the ends whose consequences are committed with this plan.
 	seen map[*worker]uint64
+	// learnt says that the row of what was learnt of images is among the writes.
+	learnt bool
 }
 
 func (p *Plan) includes(id cottonlanding.WorkflowID) bool {
@@ -90,6 +92,7 @@
 		plan.replies = append(plan.replies, c.replies[id]...)
 		delete(c.replies, id)
 	}
+	c.planLearnt(plan, now)
 	c.inFlight = plan
 	return plan
 }
@@ -185,6 +188,9 @@
 			r.worker.ordersDue = true
 		}
 	}
+	if plan.learnt {
+		c.learntVersion = version
+	}
 	c.noteSeen(plan.seen)
 	answer(plan.replies, nil)
 }
--- a/internal/workflow/planner/pressure_test.go
+++ b/internal/workflow/planner/pressure_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -26,6 +27,8 @@
 	t       *testing.T
 	now     cottonlanding.Millis
 	cell    *planner.Cell
+	epoch   cottonlanding.Epoch
+	rows    map[cottonlanding.Key]cottonlanding.Row
 	version cottonlanding.Version
 	weights map[cottonlanding.Image]float64
 	images  map[cottonlanding.WorkflowID]cottonlanding.Image
@@ -37,22 +40,51 @@
 }
 
 func share(t *testing.T, weights map[cottonlanding.Image]float64) *shared {
-	policy, _ := placer.Get(placer.Fallback)
 	s := &shared{
 		t: t, now: 1000, weights: weights,
+		rows:   make(map[cottonlanding.Key]cottonlanding.Row),
 		images: make(map[cottonlanding.WorkflowID]cottonlanding.Image),
 		runs:   make(map[cottonlanding.RunKey]int),
 		done:   make(map[cottonlanding.RunKey]float64),
 		worked: make(map[cottonlanding.Image]float64),
-		cell:   planner.New(planner.Setup{Partition: partition, Epoch: 1}, timing, planner.Policy{Placement: policy}, quiet()),
 	}
+	s.takeOver()
+	return s
+}
+
+// takeOver makes a new owner from the committed rows.
+func (s *shared) takeOver() {
+	policy, _ := placer.Get(placer.Fallback)
+	s.epoch++
+	s.cell = planner.New(planner.Setup{Partition: partition, Epoch: s.epoch, BeforeUntil: s.now}, timing, planner.Policy{Placement: policy}, quiet())
 	s.cell.SetQueues(cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{
 		"Serve": {Name: "Serve", Service: "S", Attempts: 3},
 		"Fill":  {Name: "Fill", Service: "S", Priority: 2, Attempts: 2, Stretch: 2, LatencyTarget: 1000},
 	}})
 	s.cell.SetWorkers([]cottonlanding.WorkerInfo{{ID: "w", Address: "w", Service: "S", State: cottonlanding.Live,
 		Capacity: cottonlanding.Resources{CPU: 32000, Memory: 128 * cottonlanding.Gigabyte}}}, s.now)
-	return s
+	var specs, states []cottonlanding.Row
+	for key, row := range s.rows {
+		switch {
+		case key == planner.LearntKey(partition):
+			require.NoError(s.t, s.cell.LoadLearnt(row))
+		case strings.HasPrefix(string(key), string(planner.SpecKey(partition, ""))):
+			specs = append(specs, row)
+		default:
+			states = append(states, row)
+		}
+	}
+	require.NoError(s.t, s.cell.Load(specs, states, s.now))
+}
+
+// commit applies a plan to the rows.
+func (s *shared) commit(plan *planner.Plan) {
+	s.version++
+	for _, write := range plan.Writes {
+		require.Equal(s.t, s.rows[write.Key].Version, write.Expect, "the version of %s", write.Key)
+		s.rows[write.Key] = cottonlanding.Row{Key: write.Key, Version: s.version, Value: write.Value}
+	}
+	s.cell.Committed(plan, s.version)
 }
 
 func (s *shared) submit(id cottonlanding.WorkflowID, queue cottonlanding.QueueName, step cottonlanding.Step) {
@@ -79,8 +111,7 @@
 	s.now += 100
 	s.cell.Decide(s.now, 0)
 	if plan := s.cell.Plan(s.now); plan != nil {
-		s.version++
-		s.cell.Committed(plan, s.version)
+		s.commit(plan)
 	}
 	for _, order := range s.cell.Orders(s.now) {
 		switch order.Verb {
@@ -210,3 +241,53 @@
 	require.Positive(t, light)
 	require.LessOrEqual(t, len(s.runs)-1, fit, "more filling tasks than there are processors for")
 }
+
+// paces returns the paces of the filling tasks of a workflow.
+func (s *shared) paces(id cottonlanding.WorkflowID) []int {
+	var out []int
+	for key, pace := range s.runs {
+		if key.Task.Workflow == id {
+			out = append(out, pace)
+		}
+	}
+	return out
+}
+
+// TestNewOwnerSetsPaces checks that a filling task which the owner before had
+// stopped from working goes on soon, and isn't taken for one that stands still.
+func TestNewOwnerSetsPaces(t *testing.T) {
+	s := share(t, map[cottonlanding.Image]float64{"light": 0.1})
+	s.submit("serve", "Serve", cottonlanding.Step{Tasks: 1, Resources: cottonlanding.Resources{CPU: 6000}, Lasting: true, Image: "serve", LatencyTarget: target})
+	s.submit("fill", "Fill", cottonlanding.Step{Tasks: 4, Resources: cottonlanding.Resources{CPU: 3500}, Estimate: fillTime, Image: "light", Fills: true, Checkpoints: true})
+	s.play(20*cottonlanding.Second, func(int) {})
+	require.Equal(t, []int{100, 100, 100, 100}, s.paces("fill"))
+	for key := range s.runs {
+		if key.Task.Workflow == "fill" {
+			s.runs[key] = 0 // the last thing that the owner ordered
+		}
+	}
+	s.takeOver()
+	s.play(3*cottonlanding.Second, func(int) {})
+	require.Equal(t, []int{100, 100, 100, 100}, s.paces("fill"))
+}
+
+// TestNewOwnerKnowsWhatWasLearnt checks that a new owner lets light filling tasks
+// work from the start, and keeps heavy ones slow.
+func TestNewOwnerKnowsWhatWasLearnt(t *testing.T) {
+	s := share(t, map[cottonlanding.Image]float64{"light": 0.1, "heavy": 6})
+	s.submit("serve", "Serve", cottonlanding.Step{Tasks: 1, Resources: cottonlanding.Resources{CPU: 6000}, Lasting: true, Image: "serve", LatencyTarget: target})
+	fill := cottonlanding.Step{Tasks: 2, Resources: cottonlanding.Resources{CPU: 3500}, Estimate: fillTime, Fills: true, Checkpoints: true}
+	fill.Image = "heavy"
+	s.submit("heavy", "Fill", fill)
+	s.play(10*cottonlanding.Second, func(int) {})
+	fill.Image = "light"
+	s.submit("light", "Fill", fill)
+	s.play(20*cottonlanding.Second, func(int) {})
+	s.takeOver()
+	s.over, s.worst = 0, 0
+	before := s.worked["light"]
+	const span = 10 * cottonlanding.Second
+	s.play(span, func(int) {})
+	require.InDelta(t, 200*float64(span), s.worked["light"]-before, 10*float64(span), "light ones work at full pace")
+	require.Less(t, s.worst, harm/2)
+}
--- a/internal/workflow/planner/summary.go
+++ b/internal/workflow/planner/summary.go
@@ -1,10 +1,6 @@
 package planner
 
-import (
-	"slices"
-
-	"github.com/cottonlanding/cottonlanding"
-)
+import "github.com/cottonlanding/cottonlanding"
 
 // summaryEvery is how often the use of the workers is logged: often enough to
 // follow a burst, and one line a second at most.
@@ -89,7 +85,7 @@
 	u.runs++
 	u.cpu += r.step.Resources.CPU
 	u.used += r.used
-	if slices.Contains([]int{r.pace, r.paceGoal}, 0) {
+	if r.paceGoal == 0 {
 		u.paused++
 	}
 }
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -73,6 +73,8 @@
 	pace      int                  // as last taken by the worker
 	paceGoal  int
 	paceSince cottonlanding.Millis // when the pace became zero
+	// reaffirmAt is when the pace is to be ordered once more, or zero.
+	reaffirmAt cottonlanding.Millis
 	// overSince is when a serving task was first seen over its target, or zero.
 	overSince cottonlanding.Millis
 	// figureAt is when the last figure of a serving task was taken in.
