Large hosts own the workflows; rows are loaded in pages that slow links carry

It asked for 500 rows at once, about 1 MB, which take longer than the second that a call may (`load workflows`, once each 1.1 s, from 18.9 s to 36 s). Six of the 41 hosts have 0.8 of a core and 200 Mbit/s, but a handicap of 200 ms at most lay within the jitter of 250 ms.

Ruled out: the store (it answered the same host's other calls meanwhile; it was slow until 16 s only).

Change: 150 rows a page, halved after a page that does not arrive. Members have a share of a core; one whose share is well below that of the last owner waits 0.6 s longer (2 s with a slow store), which is more than poll and jitter of the large ones together. Where all hosts are alike nobody waits longer any more. The first owner ever is found by size, over 2 s, before traffic starts.

--- a/internal/coordination/holder/holder.go
+++ b/internal/coordination/holder/holder.go
@@ -40,11 +40,13 @@
 type Member struct {
 	ID      cottonlanding.SessionID
 	Address cottonlanding.Address
+	// Share is the part of a core that the process has for the work.
+	Share float64 `json:",omitempty"`
 }
 
 // Owner is the value of the owner row.
 type Owner struct {
-	// Member is empty after a release.
+	// Member has no id after a release, but still the share of who released.
 	Member
 	Epoch cottonlanding.Epoch
 }
@@ -84,9 +86,14 @@
 	// same while the table is slow.
 	Jitter     cottonlanding.Millis
 	SlowJitter cottonlanding.Millis
-	// Handicap is how much longer this member waits than others before it takes
-	// over, so that those with more room for the work go first.
-	Handicap cottonlanding.Millis
+	// Handicap is how much longer a member waits than others before it takes over
+	// from one with a larger share, so that others with a large share go first.
+	// SlowHandicap is the same while the table is slow.
+	Handicap     cottonlanding.Millis
+	SlowHandicap cottonlanding.Millis
+	// FirstWait is how long a member without a share of a core waits before it
+	// becomes the first owner ever, one with half a core half as long, and so on.
+	FirstWait cottonlanding.Millis
 	// Timeout bounds one call of the table, SlowTimeout the same while it is slow.
 	Timeout     cottonlanding.Millis
 	SlowTimeout cottonlanding.Millis
@@ -115,7 +122,9 @@
 	// beatTTL is the time to live that the last beat row seen asks for.
 	beatTTL   cottonlanding.Millis
 	beatSince cottonlanding.Millis
-	lastRead  cottonlanding.Millis
+	// ownerSince is when the present owner row was first seen.
+	ownerSince cottonlanding.Millis
+	lastRead   cottonlanding.Millis
 
 	duty *repeater.Repeater
 }
@@ -331,6 +340,7 @@
 	}
 	h.mu.Unlock()
 	if old.Version != view.Version {
+		h.ownerSince = view.Read
 		h.log.Info("owner changed", "Partition", h.partition, "Owner", view.Owner.ID, "Address", view.Owner.Address,
 			"Epoch", view.Owner.Epoch, "Version", view.Version)
 		h.changed(view)
--- a/internal/coordination/holder/takeover.go
+++ b/internal/coordination/holder/takeover.go
@@ -11,6 +11,9 @@
 	"github.com/cottonlanding/cottonlanding"
 )
 
+// similarShare is how many times larger another share may be to count as similar.
+const similarShare = 1.5
+
 // Release gives the partition up, so that another member can take it at once. It
 // tries until that is done or ctx ends. The holder goes on to follow who owns it.
 func (h *Holder) Release(ctx context.Context) error {
@@ -25,7 +28,7 @@
 	write := cottonlanding.Write{
 		Key:    h.partition.Key(ownerRow),
 		Expect: view.Version,
-		Value:  encode(Owner{Epoch: view.Owner.Epoch}),
+		Value:  encode(Owner{Member: Member{Share: view.Owner.Share}, Epoch: view.Owner.Epoch}),
 	}
 	for {
 		_, err := h.write(ctx, newTransaction(), write)
@@ -48,12 +51,31 @@
 	switch {
 	case leaving || mine:
 		return false
+	case view.Version == 0:
+		return now-h.beatSince >= h.firstWait()+h.jitter(view)
 	case view.Owner.ID == "":
-		return view.Version > 0 || now-h.beatSince >= h.timing.Handicap+h.jitter(view)
+		return now-h.ownerSince >= h.handicap(view)
 	case view.Owner.Member == h.self:
 		return true // our own, but lapsed or never confirmed
 	}
-	return now-h.beatSince >= h.beatTTL+h.beatTTL/marginDivisor+h.timing.Handicap+h.jitter(view)
+	return now-h.beatSince >= h.beatTTL+h.beatTTL/marginDivisor+h.handicap(view)+h.jitter(view)
+}
+
+// handicap is how much longer this member waits than those that have as large a
+// share as the owner had.
+func (h *Holder) handicap(view View) cottonlanding.Millis {
+	switch {
+	case view.Owner.Share <= h.self.Share*similarShare:
+		return 0
+	case h.Slow():
+		return h.timing.SlowHandicap
+	}
+	return h.timing.Handicap
+}
+
+// firstWait is how long this member waits before it becomes the first owner.
+func (h *Holder) firstWait() cottonlanding.Millis {
+	return cottonlanding.Millis(float64(h.timing.FirstWait) * max(0, 1-h.self.Share))
 }
 
 // jitter spreads the members that would take over at the same moment: they share
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -29,7 +29,11 @@
 	// callTimeout bounds an order, and a look beyond the wait that it asks for.
 	callTimeout = cottonlanding.Second
 	loadPause   = 100 * cottonlanding.Millis(1)
-	scanLimit   = 500
+	// firstPage is how many rows are read at once at first: with the usual payloads they
+	// come over a link of 10 Mbit/s within a quarter of tableTimeout. A page that doesn't
+	// arrive is halved, down to leastPage.
+	firstPage = 150
+	leastPage = 25
 )
 
 // Dependencies are what a driver works with.
--- a/internal/workflow/driver/load.go
+++ b/internal/workflow/driver/load.go
@@ -10,12 +10,16 @@
 
 // load reads the rows of the predecessor until that succeeds.
 func (d *Driver) load() *planner.Cell {
+	page := firstPage
 	for d.ctx.Err() == nil {
-		cell, err := d.tryLoad()
+		cell, err := d.tryLoad(page)
 		if err == nil {
 			return cell
 		}
-		d.deps.Log.Warn("load workflows", "Error", err)
+		d.deps.Log.Warn("load workflows", "Page", page, "Error", err)
+		if !errors.Is(err, errNotReady) {
+			page = max(page/2, leastPage)
+		}
 		d.sleep(loadPause)
 	}
 	return nil
@@ -23,18 +27,18 @@
 
 var errNotReady = errors.New("configuration or workers not known yet")
 
-func (d *Driver) tryLoad() (*planner.Cell, error) {
+func (d *Driver) tryLoad(page int) (*planner.Cell, error) {
 	workers, known := d.deps.ListWorkers()
 	queues := d.deps.Queues()
 	if !known || queues.Version == 0 {
 		return nil, errNotReady
 	}
 	began := d.deps.Clock.Now()
-	specs, err := d.scan(planner.SpecKey(d.setup.Partition, ""))
+	specs, err := d.scan(planner.SpecKey(d.setup.Partition, ""), page)
 	if err != nil {
 		return nil, err
 	}
-	states, err := d.scan(planner.StateKey(d.setup.Partition, ""))
+	states, err := d.scan(planner.StateKey(d.setup.Partition, ""), page)
 	if err != nil {
 		return nil, err
 	}
@@ -64,12 +68,13 @@
 	return d.deps.Table.Read(ctx, key)
 }
 
-func (d *Driver) scan(prefix cottonlanding.Key) ([]cottonlanding.Row, error) {
+// scan reads all rows of a prefix, some at a time.
+func (d *Driver) scan(prefix cottonlanding.Key, page int) ([]cottonlanding.Row, error) {
 	var out []cottonlanding.Row
 	after := cottonlanding.Key("")
 	for {
 		ctx, cancel := context.WithTimeout(d.ctx, tableTimeout.Duration())
-		rows, err := d.deps.Table.Scan(ctx, prefix, after, scanLimit)
+		rows, err := d.deps.Table.Scan(ctx, prefix, after, page)
 		cancel()
 		if err != nil {
 			return nil, err
--- a/internal/workflow/gateway/timing.go
+++ b/internal/workflow/gateway/timing.go
@@ -17,8 +17,14 @@
 	slowHolderTTL     = 4 * cottonlanding.Second
 	slowHolderTimeout = 2500 * cottonlanding.Millis(1)
 	slowCall          = 150 * cottonlanding.Millis(1)
-	// mostHandicap is how much longer the smallest host waits to take over.
-	mostHandicap = 200 * cottonlanding.Millis(1)
+	// holderHandicap is how much longer a small host waits than large ones to take
+	// over from a large one: all of those have tried by then. slowHolderHandicap is
+	// the same while the store is slow.
+	holderHandicap     = 600 * cottonlanding.Millis(1)
+	slowHolderHandicap = 2 * cottonlanding.Second
+	// holderFirstWait spreads hosts by size when nobody has owned anything yet, which
+	// is well before traffic starts.
+	holderFirstWait = 2 * cottonlanding.Second
 	// cutOffGrace is how long an owner that lost the store keeps renewing leases.
 	// With a lease it covers outages of nine seconds, the longest that were seen.
 	cutOffGrace = 2 * cottonlanding.Second
@@ -32,20 +38,20 @@
 	slowHolderJitter = 2 * cottonlanding.Second
 )
 
-// HolderTiming returns the spans of a host that has a part of a core: hosts with
-// less of it wait longer before they take over.
-func HolderTiming(processorShare float64) holder.Timing {
-	missing := max(0, 1-processorShare)
+// HolderTiming returns the spans of ownership.
+func HolderTiming() holder.Timing {
 	return holder.Timing{
-		TTL:         holderTTL,
-		SlowTTL:     slowHolderTTL,
-		SlowCall:    slowCall,
-		Poll:        holderPoll,
-		Timeout:     holderTimeout,
-		SlowTimeout: slowHolderTimeout,
-		Jitter:      holderJitter,
-		SlowJitter:  slowHolderJitter,
-		Handicap:    cottonlanding.Millis(missing * float64(mostHandicap)),
+		TTL:          holderTTL,
+		SlowTTL:      slowHolderTTL,
+		SlowCall:     slowCall,
+		Poll:         holderPoll,
+		Timeout:      holderTimeout,
+		SlowTimeout:  slowHolderTimeout,
+		Jitter:       holderJitter,
+		SlowJitter:   slowHolderJitter,
+		Handicap:     holderHandicap,
+		SlowHandicap: slowHolderHandicap,
+		FirstWait:    holderFirstWait,
 	}
 }
 
