Scenarios keep the logs of earlier lives and wait for a killed process to end

Cause: the log of a process that was killed was overwritten when it was started again, so that the two known reds could not be explained. A start right after a kill did not wait for the end of the one before.

--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -60,13 +60,19 @@
 
 func all(ts *testscript.TestScript) *processes { return ts.Value(processesKey).(*processes) }
 
-// start NAME PROGRAM ARGS... starts a process; its output goes to NAME.log.
+// start NAME PROGRAM ARGS... starts a process; its output is added to NAME.log. A
+// process of that name that was killed must have ended first: it may hold its ports
+// for a while, and one that finds them in use ends at once.
 func start(ts *testscript.TestScript, neg bool, args []string) {
 	if neg || len(args) < 2 {
 		ts.Fatalf("usage: start NAME PROGRAM ARGS...")
 	}
+	p := all(ts)
+	if !p.awaitEnd(args[0]) {
+		ts.Fatalf("the %s before has not ended", args[0])
+	}
 	command := prepare(ts, args[1], args[2:])
-	log, err := os.Create(ts.MkAbs(args[0] + ".log"))
+	log, err := os.OpenFile(ts.MkAbs(args[0]+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	ts.Check(err)
 	command.Stdout, command.Stderr = log, log
 	ts.Check(command.Start())
@@ -76,12 +82,27 @@
 		_ = log.Close()
 		close(one.done)
 	}()
-	p := all(ts)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.byName[args[0]] = one
 }
 
+// awaitEnd waits for the process of a name, if there is one, to have ended.
+func (p *processes) awaitEnd(name string) bool {
+	p.mu.Lock()
+	old := p.byName[name]
+	p.mu.Unlock()
+	if old == nil {
+		return true
+	}
+	select {
+	case <-old.done:
+		return true
+	case <-time.After(endWithin):
+		return false
+	}
+}
+
 func prepare(ts *testscript.TestScript, program string, args []string) *exec.Cmd {
 	path := program
 	for _, folder := range filepath.SplitList(ts.Getenv("PATH")) {
