A large host asks a small owner for the workflows

Ruled out: the waits for large hosts (they could not read the store at that time).

Change: a member whose share is 1.5 times that of the owner or more asks for the partition by a row, 1.5 s after it has seen the owner; the owner looks for it every 0.6 s, gives the owner row up and names the share of who asked, so that small ones wait. What it had decided and not committed is dropped.

Tried and not kept: committing all that was decided first, as at SIGTERM.

A driver could be ended twice at the same time, by its release and by the loss of its ownership; that is done once now.

TestLargeMemberAsksForThePartition, TestSmallOwnerHandsOver: the small one kept it before.

--- a/internal/coordination/holder/holder.go
+++ b/internal/coordination/holder/holder.go
@@ -108,6 +108,7 @@
 	timing    Timing
 	log       *slog.Logger
 	changed   func(View)
+	asked     func(Member)
 
 	mu         sync.Mutex
 	view       View
@@ -122,6 +123,10 @@
 	// beatTTL is the time to live that the last beat row seen asks for.
 	beatTTL   cottonlanding.Millis
 	beatSince cottonlanding.Millis
+	// requestAt is when the owner last looked for a request, heard the version of the
+	// owner row for which one was passed on.
+	requestAt cottonlanding.Millis
+	heard     cottonlanding.Version
 	// ownerSince is when the present owner row was first seen.
 	ownerSince cottonlanding.Millis
 	lastRead   cottonlanding.Millis
@@ -130,8 +135,10 @@
 }
 
 // New starts to follow the partition and to hold it when nobody else does.
-// changed is called from one goroutine whenever the owner changes.
-func New(table cottonlanding.Table, clock cottonlanding.Clock, partition cottonlanding.Partition, self Member, timing Timing, log *slog.Logger, changed func(View)) *Holder {
+// changed is called from one goroutine whenever the owner changes, asked from the
+// same when a larger member asks this owner for the partition, which it should
+// then Yield.
+func New(table cottonlanding.Table, clock cottonlanding.Clock, partition cottonlanding.Partition, self Member, timing Timing, log *slog.Logger, changed func(View), asked func(Member)) *Holder {
 	h := &Holder{
 		table:     table,
 		clock:     clock,
@@ -140,6 +147,7 @@
 		timing:    timing,
 		log:       log,
 		changed:   changed,
+		asked:     asked,
 		connected: true,
 	}
 	h.duty = repeater.New(timing.Poll, h.step)
@@ -219,6 +227,7 @@
 func (h *Holder) step(ctx context.Context) {
 	if h.mine() {
 		h.renew(ctx)
+		h.lookForRequest(ctx)
 		return
 	}
 	h.observe(ctx)
@@ -294,6 +303,8 @@
 	view := View{Read: now}
 	beat := cottonlanding.Version(0)
 	last := Beat{TTL: h.timing.TTL}
+	var request Request
+	requestVersion := cottonlanding.Version(0)
 	for _, row := range rows {
 		switch row.Key {
 		case h.partition.Key(beatRow):
@@ -302,6 +313,11 @@
 				h.log.Error("beat row", "Error", err)
 				return
 			}
+		case h.partition.Key(requestRow):
+			requestVersion = row.Version
+			if err := json.Unmarshal(row.Value, &request); err != nil {
+				h.log.Error("request row", "Error", err) // it is written anew for the next owner
+			}
 		case h.partition.Key(ownerRow):
 			view.Version = row.Version
 			if err := json.Unmarshal(row.Value, &view.Owner); err != nil {
@@ -314,8 +330,11 @@
 	h.noteBeat(beat, now)
 	view.BeatAge = now - h.beatSince
 	h.publish(view)
-	if h.free(view, now) {
+	switch {
+	case h.free(view, now):
 		h.takeOver(ctx, view)
+	case h.wants(view, request.OwnerVersion, now):
+		h.ask(ctx, view, requestVersion)
 	}
 }
 
--- a/internal/coordination/holder/holder_test.go
+++ b/internal/coordination/holder/holder_test.go
@@ -73,6 +73,8 @@
 type member struct {
 	*holder.Holder
 	table *table
+	// asked gets the members that ask for the partition.
+	asked chan holder.Member
 }
 
 func join(store cottonlanding.Table, clock cottonlanding.Clock, number int) member {
@@ -84,7 +86,8 @@
 	one := &table{Table: store}
 	self := holder.Member{ID: cottonlanding.SessionID(name), Address: "a", Share: share}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	return member{holder.New(one, clock, partition, self, timing, log, func(holder.View) {}), one}
+	asked := make(chan holder.Member, 10)
+	return member{holder.New(one, clock, partition, self, timing, log, func(holder.View) {}, func(to holder.Member) { asked <- to }), one, asked}
 }
 
 // owners returns the members that believe in themselves.
@@ -269,3 +272,32 @@
 		})
 	}
 }
+
+// TestLargeMemberAsksForThePartition checks that a large member that was cut off
+// gets the partition back from a small one, once.
+func TestLargeMemberAsksForThePartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		clock := cottonlanding.NewClock()
+		store := keeper.New()
+		large, small, other := joinSized(store, clock, "large", 0.8), joinSized(store, clock, "small", 0.1), joinSized(store, clock, "other", 0.1)
+		members := []member{large, small, other}
+		for _, m := range members {
+			defer m.Close()
+		}
+		time.Sleep(3 * time.Second)
+		require.Equal(t, []int{0}, owners(clock, members))
+		large.table.set(func(t *table) { t.cut = true })
+		time.Sleep(3 * time.Second)
+		owner := members[owners(clock, members)[0]]
+		large.table.set(func(t *table) { t.cut = false })
+		asked := <-owner.asked
+		require.Equal(t, cottonlanding.SessionID("large"), asked.ID)
+		require.NoError(t, owner.Yield(context.Background(), asked))
+		time.Sleep(500 * time.Millisecond)
+		require.Equal(t, []int{0}, owners(clock, members))
+		time.Sleep(10 * time.Second)
+		require.Equal(t, []int{0}, owners(clock, members))
+		require.Empty(t, small.asked)
+		require.Empty(t, other.asked)
+	})
+}
--- a/internal/coordination/holder/takeover.go
+++ b/internal/coordination/holder/takeover.go
@@ -18,6 +18,16 @@
 // tries until that is done or ctx ends. The holder goes on to follow who owns it.
 func (h *Holder) Release(ctx context.Context) error {
 	h.Leave()
+	return h.giveUp(ctx, h.View().Owner.Share)
+}
+
+// Yield is Release for a larger member; this one may own the partition again later.
+func (h *Holder) Yield(ctx context.Context, to Member) error {
+	return h.giveUp(ctx, to.Share)
+}
+
+// giveUp writes an owner row without an owner; members of about that share go first.
+func (h *Holder) giveUp(ctx context.Context, share float64) error {
 	h.mu.Lock()
 	view, valid := h.view, h.validUntil > 0
 	h.validUntil = 0
@@ -28,7 +38,7 @@
 	write := cottonlanding.Write{
 		Key:    h.partition.Key(ownerRow),
 		Expect: view.Version,
-		Value:  encode(Owner{Member: Member{Share: view.Owner.Share}, Epoch: view.Owner.Epoch}),
+		Value:  encode(Owner{Member: Member{Share: share}, Epoch: view.Owner.Epoch}),
 	}
 	for {
 		_, err := h.write(ctx, newTransaction(), write)
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -71,6 +71,8 @@
 	// stopping ends the decisions, ended tells that they have ended.
 	stopping chan struct{}
 	ended    chan struct{}
+	stopOnce sync.Once
+	endOnce  sync.Once
 	ctx      context.Context
 	cancel   context.CancelFunc
 	work     sync.WaitGroup
@@ -104,7 +106,7 @@
 
 // Release ends the driver after what was decided is committed, or when ctx ends.
 func (d *Driver) Release(ctx context.Context) {
-	close(d.stopping)
+	d.stopOnce.Do(func() { close(d.stopping) })
 	select {
 	case <-d.ended:
 		d.flush(ctx)
@@ -120,7 +122,13 @@
 	d.end(ctx)
 }
 
+// end may be called more than once, also at the same time: a driver that is being
+// released can lose its ownership meanwhile.
 func (d *Driver) end(ctx context.Context) {
+	d.endOnce.Do(func() { d.endNow(ctx) })
+}
+
+func (d *Driver) endNow(ctx context.Context) {
 	d.cancel()
 	d.work.Wait()
 	d.committer.Close(ctx)
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -76,6 +76,9 @@
 	g.holder = holder.New(deps.Table, deps.Clock, Partition, settings.Self, settings.Holder, deps.Log, func(view holder.View) {
 		<-ready
 		g.ownerChanged(view)
+	}, func(to holder.Member) {
+		<-ready
+		go g.yield(to)
 	})
 	close(ready)
 	return g, nil
@@ -279,6 +282,21 @@
 	g.mu.Unlock()
 }
 
+// yieldWithin bounds the hand-over to a larger host: some tries of a write.
+const yieldWithin = 5 * cottonlanding.Second
+
+// yield hands the workflows over to a host that has more room for them. What was
+// decided and isn't committed yet is dropped: a host that is too small for the work
+// may need seconds for that, and nothing was ordered by it.
+func (g *Gateway) yield(to holder.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), yieldWithin.Duration())
+	defer cancel()
+	if err := g.holder.Yield(ctx, to); err != nil {
+		g.deps.Log.Warn("hand over workflows", "To", to.ID, "Error", err)
+	}
+	g.holder.Nudge()
+}
+
 // Close ends the host's part.
 func (g *Gateway) Close(ctx context.Context) {
 	g.holder.Close()
--- a/internal/workflow/gateway/gateway_test.go
+++ b/internal/workflow/gateway/gateway_test.go
@@ -93,7 +93,10 @@
 	return d
 }
 
-func (d *deployment) host(number int) *gateway.Gateway {
+func (d *deployment) host(number int) *gateway.Gateway { return d.sizedHost(number, 0) }
+
+// sizedHost starts a host with a share of a core.
+func (d *deployment) sizedHost(number int, share float64) *gateway.Gateway {
 	probe, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(d.t, err)
 	address := cottonlanding.Address(probe.Addr().String())
@@ -103,9 +106,9 @@
 		"Q": {Name: "Q", Service: "S", Attempts: 3, Stretch: 2, LatencyTarget: 1000},
 	}}
 	host, err := gateway.New(gateway.Settings{
-		Self:        holder.Member{ID: cottonlanding.SessionID(fmt.Sprintf("h%d", number)), Address: address},
+		Self:        holder.Member{ID: cottonlanding.SessionID(fmt.Sprintf("h%d", number)), Address: address, Share: share},
 		PeerAddress: address,
-		Holder:      holder.Timing{TTL: 600, SlowTTL: 2000, SlowCall: 150, Poll: 100, Timeout: 500, SlowTimeout: 1000},
+		Holder:      holder.Timing{TTL: 600, SlowTTL: 2000, SlowCall: 150, Poll: 100, Timeout: 500, SlowTimeout: 1000, Handicap: 300, SlowHandicap: 300},
 		Planner:     planner.Timing{Lease: 3000, CutOffGrace: 1000, StopTimeout: 300, Retention: cottonlanding.Minute},
 		Policy:      planner.Policy{Placement: placement},
 	}, gateway.Dependencies{
@@ -240,6 +243,29 @@
 	d.succeeds(other, "after")
 }
 
+// TestSmallOwnerHandsOver checks that a large host that comes later gets the
+// workflows, and that all that is accepted meanwhile is done once.
+func TestSmallOwnerHandsOver(t *testing.T) {
+	d := deploy(t)
+	d.owner()
+	d.hosts = append(d.hosts, d.sizedHost(3, 0.8))
+	end := time.Now().Add(15 * time.Second)
+	number := 0
+	for {
+		id := cottonlanding.WorkflowID(fmt.Sprintf("w%d", number))
+		d.submit(number%3, workflow(id))
+		number++
+		if _, owns := d.hosts[3].Counts(); owns {
+			break
+		}
+		require.True(t, time.Now().Before(end), "the large host never owns the workflows")
+	}
+	for at := range number {
+		d.succeeds(at%4, cottonlanding.WorkflowID(fmt.Sprintf("w%d", at)))
+	}
+	require.Equal(t, 6*number, d.runner.Starts(), "each task runs once")
+}
+
 func TestOwnerLeaves(t *testing.T) {
 	d := deploy(t)
 	old := d.owner()
