--- a/internal/coordination/holder/holder.go
+++ b/internal/coordination/holder/holder.go
@@ -36,69 +36,6 @@
 	releasePause = 50 * cottonlanding.Millis(1)
 )
 
-// Member is a process that can hold the partition.
-type Member struct {
-	ID      cottonlanding.SessionID
-	Address cottonlanding.Address
-	// Share is the part of a core that the process has for the work.
-	Share float64 `json:",omitempty"`
-}
-
-// Owner is the value of the owner row.
-type Owner struct {
-	// Member has no id after a release, but still the share of who released.
-	Member
-	Epoch cottonlanding.Epoch
-}
-
-// View is what one member knows of the partition.
-type View struct {
-	Owner Owner
-	// Version is that of the owner row.
-	Version cottonlanding.Version
-	// Read is when this was last confirmed.
-	Read cottonlanding.Millis
-	// BeatAge is for how long the owner's beat row stood still by then, as far as
-	// this member has seen.
-	BeatAge cottonlanding.Millis
-	// BeforeUntil is, in an owner's own view, the instant by which the owner before
-	// it surely knew that it had ended.
-	BeforeUntil cottonlanding.Millis
-}
-
-// Beat is the value of the beat row.
-type Beat struct {
-	Member
-	// TTL is how long the owner lasts without another beat.
-	TTL cottonlanding.Millis
-}
-
-// Timing holds the spans of a holder.
-type Timing struct {
-	// TTL is how long an owner lasts without a beat.
-	TTL cottonlanding.Millis
-	// SlowTTL is the same while the table is slow, from calls of SlowCall on.
-	SlowTTL  cottonlanding.Millis
-	SlowCall cottonlanding.Millis
-	// Poll is the time between two reads, or beats of the owner.
-	Poll cottonlanding.Millis
-	// Jitter is over how long the take-overs of members are spread, SlowJitter the
-	// same while the table is slow.
-	Jitter     cottonlanding.Millis
-	SlowJitter cottonlanding.Millis
-	// Handicap is how much longer a member waits than others before it takes over
-	// from one with a larger share, so that others with a large share go first.
-	// SlowHandicap is the same while the table is slow.
-	Handicap     cottonlanding.Millis
-	SlowHandicap cottonlanding.Millis
-	// FirstWait is how long a member without a share of a core waits before it
-	// becomes the first owner ever, one with half a core half as long, and so on.
-	FirstWait cottonlanding.Millis
-	// Timeout bounds one call of the table, SlowTimeout the same while it is slow.
-	Timeout     cottonlanding.Millis
-	SlowTimeout cottonlanding.Millis
-}
-
 // Holder is one member's part.
 type Holder struct {
 	table     cottonlanding.Table
--- a/internal/workflow/planner/summary.go
+++ b/internal/workflow/planner/summary.go
@@ -3,39 +3,29 @@
 import "github.com/cottonlanding/cottonlanding"
 
 // summaryEvery is how often the use of the workers is logged: often enough to
-// follow a burst, and one line a second at most.
+// follow a burst of some seconds.
 const summaryEvery = 2 * cottonlanding.Second
 
-// kind tells apart what a task asks of its worker.
-type kind int
-
-const (
-	// shortTask ends by itself and has room reserved for it.
-	shortTask kind = iota
-	// lastingTask runs until its workflow is cancelled.
-	lastingTask
-	// fillingTask takes the processors that others leave.
-	fillingTask
-	kinds
-)
-
-func kindOf(step cottonlanding.Step) kind {
-	switch {
-	case step.Fills:
-		return fillingTask
-	case step.Lasting:
-		return lastingTask
-	}
-	return shortTask
+// summary is how the usable workers are used.
+type summary struct {
+	usable   int
+	capacity cottonlanding.Millicores
+	// free is the room that no run holds, spare what is expected to be unused.
+	free  cottonlanding.Resources
+	spare cottonlanding.Millicores
+	// mixed counts the workers on which several images serve.
+	mixed int
+	kinds [kinds]usage
 }
 
-// usage sums up what one kind of task holds and waits for.
+// usage is what one kind of task holds and waits for.
 type usage struct {
 	runs    int
 	waiting int
 	// cpu is what its runs ask for, used what filling ones really get.
-	cpu    cottonlanding.Millicores
-	used   cottonlanding.Millicores
+	cpu  cottonlanding.Millicores
+	used cottonlanding.Millicores
+	// paused counts the filling runs that stand still.
 	paused int
 }
 
@@ -45,40 +35,40 @@
 		return
 	}
 	c.summaryAt = now
-	var by [kinds]usage
-	var capacity, spare cottonlanding.Millicores
-	var free cottonlanding.Resources
-	usable, mixed := 0, 0
+	s := c.summarize(now)
+	short, lasting, filling := s.kinds[shortTask], s.kinds[lastingTask], s.kinds[fillingTask]
+	c.log.Info("use of workers", "Usable", s.usable, "Workers", len(c.workers), "CPU", int64(s.capacity),
+		"FreeCPU", int64(s.free.CPU), "FreeMemory", s.free.Memory.String(), "SpareCPU", int64(s.spare), "MixedImages", s.mixed,
+		"ShortRuns", short.runs, "ShortCPU", int64(short.cpu), "ShortWaiting", short.waiting,
+		"LastingRuns", lasting.runs, "LastingCPU", int64(lasting.cpu), "LastingWaiting", lasting.waiting,
+		"FillingRuns", filling.runs, "FillingCPU", int64(filling.cpu), "FillingUsed", int64(filling.used),
+		"FillingPaused", filling.paused, "FillingWaiting", filling.waiting)
+}
+
+func (c *Cell) summarize(now cottonlanding.Millis) summary {
+	var out summary
 	for _, w := range c.sortedWorkers() {
-		if !w.usable(now) {
-			continue
-		}
-		usable++
-		room := c.room(w, now)
-		capacity += w.info.Capacity.CPU
-		spare += max(room.spare, 0)
-		free = free.Plus(room.free)
-		if len(room.slacks) > 1 {
-			mixed++
-		}
-		for _, r := range w.runs.all() {
-			by[kindOf(r.step)].add(r)
+		if w.usable(now) {
+			out.addWorker(w, c.room(w, now))
 		}
 	}
 	for _, s := range c.waitingStages(now) {
-		for _, t := range s.tasks {
-			if t.state == taskWaiting {
-				by[kindOf(s.Step)].waiting++
-			}
-		}
+		out.kinds[kindOf(s.Step)].waiting += s.waiting()
+	}
+	return out
+}
+
+func (s *summary) addWorker(w *worker, room *room) {
+	s.usable++
+	s.capacity += w.info.Capacity.CPU
+	s.free = s.free.Plus(room.free)
+	s.spare += max(room.spare, 0)
+	if len(room.slacks) > 1 {
+		s.mixed++
+	}
+	for _, r := range w.runs.all() {
+		s.kinds[kindOf(r.step)].add(r)
 	}
-	short, lasting, filling := by[shortTask], by[lastingTask], by[fillingTask]
-	c.log.Info("use of workers", "Usable", usable, "Workers", len(c.workers), "CPU", int64(capacity),
-		"FreeCPU", int64(free.CPU), "FreeMemory", free.Memory.String(), "SpareCPU", int64(spare), "MixedImages", mixed,
-		"ShortRuns", short.runs, "ShortCPU", int64(short.cpu), "ShortWaiting", short.waiting,
-		"LastingRuns", lasting.runs, "LastingCPU", int64(lasting.cpu), "LastingWaiting", lasting.waiting,
-		"FillingRuns", filling.runs, "FillingCPU", int64(filling.cpu), "FillingUsed", int64(filling.used),
-		"FillingPaused", filling.paused, "FillingWaiting", filling.waiting)
 }
 
 func (u *usage) add(r *run) {
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -40,6 +40,17 @@
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.state == taskWaiting })
 }
 
+// waiting counts the tasks of a step that have no worker.
+func (s *stage) waiting() int {
+	count := 0
+	for _, t := range s.tasks {
+		if t.state == taskWaiting {
+			count++
+		}
+	}
+	return count
+}
+
 // tellWaiting logs why a task has no worker yet: how many were ruled out by what.
 func (c *Cell) tellWaiting(t *task, now cottonlanding.Millis) {
 	if now-t.since < tellWaitingAfter || now-t.stage.toldAt < tellWaitingEvery && t.stage.toldAt > 0 {
