A run that its worker has ruled out is given up at the first look after that

A start without an answer, then refused, is stopped, and the stop repeated every two stop timeouts until a look that was sent after its answer doesn't list the run.

Ruled out: a driver, commit or call that hangs (goroutines of all hosts were dumped), orders not sent (each stop was answered).

Change: the first answer to a stop counts; later ones only space the repetitions.

TestStopThatIsRepeatedCounts: the task is never run before, once after.

--- a/internal/workflow/planner/faults_test.go
+++ b/internal/workflow/planner/faults_test.go
@@ -49,6 +49,7 @@
 	late     []planner.Order
 	accepted map[cottonlanding.WorkflowID]bool
 	queues   cottonlanding.Queues
+	timing   planner.Timing
 	plan     *planner.Plan
 }
 
@@ -58,6 +59,7 @@
 		now:      1000,
 		rows:     make(map[cottonlanding.Key]cottonlanding.Row),
 		accepted: make(map[cottonlanding.WorkflowID]bool),
+		timing:   timing,
 		queues: cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{
 			"Urgent": {Name: "Urgent", Service: "S", Priority: 0, Attempts: 3, Stretch: 2, LatencyTarget: 1000},
 			"Bulk":   {Name: "Bulk", Service: "S", Priority: 2, Attempts: 2, Stretch: 2, LatencyTarget: 1000},
@@ -95,7 +97,7 @@
 	w.epoch++
 	w.plan = nil
 	policy, _ := placer.Get(placer.Fallback)
-	w.cell = planner.New(planner.Setup{Partition: partition, Epoch: w.epoch, BeforeUntil: before}, timing, planner.Policy{Placement: policy}, quiet())
+	w.cell = planner.New(planner.Setup{Partition: partition, Epoch: w.epoch, BeforeUntil: before}, w.timing, planner.Policy{Placement: policy}, quiet())
 	w.cell.SetQueues(w.queues)
 	w.cell.SetWorkers(slices.Clone(w.workers), w.now)
 	require.NoError(w.t, w.cell.Load(w.scan(planner.SpecKey(partition, "")), w.scan(planner.StateKey(partition, "")), w.now))
@@ -167,6 +169,8 @@
 		err := error(cottonlanding.ErrAmbiguous)
 		switch fault() {
 		case "lost":
+		case "refused":
+			err = cottonlanding.ErrUnavailable
 		case "late":
 			w.late = append(w.late, order)
 		case "unanswered":
@@ -436,3 +440,41 @@
 		}
 	})
 }
+
+// TestStopThatIsRepeatedCounts checks that a run which a worker has ruled out is
+// given up although the stop is repeated more often than the worker is looked at.
+func TestStopThatIsRepeatedCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.timing.StopTimeout = cottonlanding.Millis(rapid.IntRange(100, 900).Draw(t, "StopTimeout"))
+		w.takeOver()
+		turn := func(fault string) {
+			w.now += 50
+			w.commit()
+			w.orders(func() string { return fault })
+		}
+		const lookTime = 800 // milliseconds for which a worker holds back its answer
+		looks := func() {
+			for _, worker := range w.workers {
+				next, _ := w.cell.NextLook(worker.ID, w.now-lookTime)
+				report, err := w.runner.Look(context.Background(), next.Worker, next.Look)
+				require.NoError(t, err)
+				w.cell.Looked(worker.ID, report, w.now-lookTime, w.now)
+			}
+		}
+		w.now += lookTime
+		looks()
+		w.submit("b", "Urgent", cottonlanding.Step{Tasks: 1, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}, Estimate: 500})
+		turn("lost") // it may have been started
+		for range 8 {
+			turn("refused") // it must be ruled out
+		}
+		for number := range 120 {
+			turn("")
+			if number%(lookTime/50) == 0 {
+				looks()
+			}
+		}
+		require.Equal(t, 1, w.runner.Starts(), "the task is never run")
+	})
+}
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -130,7 +130,7 @@
 		if listed[r.RunKey] {
 			continue
 		}
-		stopped := r.stopping && r.stopAcked > 0 && r.stopAcked < sentAt
+		stopped := r.stopping && r.ruledOutAt > 0 && r.ruledOutAt < sentAt
 		gone := r.phase == started && r.ackedAt < sentAt
 		if stopped || gone {
 			c.log.Info("run gone", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Stopped", stopped)
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -168,6 +168,9 @@
 func (c *Cell) stopAnswered(r *run, err error, now cottonlanding.Millis) {
 	if err == nil {
 		r.stopAcked = now
+		if r.ruledOutAt == 0 {
+			r.ruledOutAt = now
+		}
 		return
 	}
 	r.nextTry = now + orderPause
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -61,10 +61,13 @@
 	// doubtful says that a copy of the start may still be on its way.
 	doubtful bool
 
-	// stopping says that the run must end; stopAcked when the worker took that.
+	// stopping says that the run must end; stopAcked when the worker last took that.
 	stopping   bool
 	stopReason string
 	stopAcked  cottonlanding.Millis
+	// ruledOutAt is when the worker first took that: from then on it never starts the
+	// run, however often it is told again.
+	ruledOutAt cottonlanding.Millis
 
 	percent   int
 	tail      cottonlanding.Millis
