--- a/internal/workflow/gateway/timing.go
+++ b/internal/workflow/gateway/timing.go
@@ -18,9 +18,10 @@
 	slowHolderTimeout = 2500 * cottonlanding.Millis(1)
 	slowCall          = 150 * cottonlanding.Millis(1)
 	// holderHandicap is how much longer a small host waits than large ones to take
-	// over from a large one: all of those have tried by then. slowHolderHandicap is
+	// over from a large one: all of those have tried by then, also those that saw the last beat
+	// a poll later and look again a poll after their wait. slowHolderHandicap is
 	// the same while the store is slow.
-	holderHandicap     = 600 * cottonlanding.Millis(1)
+	holderHandicap     = 900 * cottonlanding.Millis(1)
 	slowHolderHandicap = 2 * cottonlanding.Second
 	// holderFirstWait spreads hosts by size when nobody has owned anything yet, which
 	// is well before traffic starts.
