--- a/internal/workflow/planner/place_test.go
+++ b/internal/workflow/planner/place_test.go
@@ -22,14 +22,7 @@
 			next++
 			w.submit(cottonlanding.WorkflowID(fmt.Sprintf("b%d", next)), "Urgent", small)
 		}
-		turn := func() {
-			w.now += 50
-			w.commit()
-			w.orders(func() string { return "" })
-			for _, worker := range w.workers {
-				w.look(worker.ID, true)
-			}
-		}
+		turn := func() { w.turn(50) }
 		for range 20 {
 			turn()
 		}
@@ -59,14 +52,7 @@
 func TestRoomIsKeptWhereItCanCome(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
-		play := func() {
-			w.now += 50
-			w.commit()
-			w.orders(func() string { return "" })
-			for _, worker := range w.workers {
-				w.look(worker.ID, true)
-			}
-		}
+		play := func() { w.turn(50) }
 		for range 10 {
 			play()
 		}
--- /dev/null
+++ b/internal/workflow/planner/world_test.go
@@ -0,0 +1,237 @@
+package planner_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/policy/placer"
+	"github.com/cottonlanding/cottonlanding/internal/stand/runner"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+const partition cottonlanding.Partition = "Test"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "20261202") // the same verdict every time
+	}
+	os.Exit(m.Run())
+}
+
+var timing = planner.Timing{Lease: 6000, CutOffGrace: 1000, StopTimeout: 900, Retention: 10 * cottonlanding.Minute}
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// world plays one cell, its owners one after the other, its table and its workers,
+// all on one clock that the test moves by hand.
+type world struct {
+	t       *rapid.T
+	now     cottonlanding.Millis
+	runner  *runner.Runner
+	cell    *planner.Cell
+	epoch   cottonlanding.Epoch
+	rows    map[cottonlanding.Key]cottonlanding.Row
+	version cottonlanding.Version
+	workers []cottonlanding.WorkerInfo
+	lives   int
+	// late holds orders that workers carry out later, also after the owner changed.
+	late     []planner.Order
+	accepted map[cottonlanding.WorkflowID]bool
+	queues   cottonlanding.Queues
+	timing   planner.Timing
+	plan     *planner.Plan
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t:        t,
+		now:      1000,
+		rows:     make(map[cottonlanding.Key]cottonlanding.Row),
+		accepted: make(map[cottonlanding.WorkflowID]bool),
+		timing:   timing,
+		queues: cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{
+			"Urgent": {Name: "Urgent", Service: "S", Priority: 0, Attempts: 3, Stretch: 2, LatencyTarget: 1000},
+			"Bulk":   {Name: "Bulk", Service: "S", Priority: 2, Attempts: 2, Stretch: 2, LatencyTarget: 1000},
+		}},
+	}
+	w.runner = runner.New(cottonlanding.ClockOf(func() cottonlanding.Millis { return w.now }), func(key cottonlanding.RunKey) runner.Fate {
+		index := key.Task.Index
+		return runner.Fate{Lasts: cottonlanding.Millis(200 + 170*index), Fails: index%5 == 4 && key.Number == 1, Forever: key.Task.Workflow[0] == 'l'}
+	})
+	for range 4 {
+		w.addWorker()
+	}
+	w.takeOver()
+	return w
+}
+
+func (w *world) addWorker() {
+	w.lives++
+	id := cottonlanding.WorkerID(fmt.Sprintf("w%d", w.lives))
+	w.runner.Add(id, cottonlanding.Millis(10_000*w.lives))
+	w.workers = append(w.workers, cottonlanding.WorkerInfo{
+		ID: id, Address: cottonlanding.Address(id), Service: "S", State: cottonlanding.Live,
+		Capacity: cottonlanding.Resources{CPU: 8000, Memory: 64 * cottonlanding.Gigabyte},
+	})
+}
+
+// takeOver makes a new owner from the committed rows.
+func (w *world) takeOver() { w.takeOverFrom(w.now) }
+
+// takeOverFrom is takeOver from an owner that had ended by an instant.
+func (w *world) takeOverFrom(before cottonlanding.Millis) {
+	if w.cell != nil {
+		w.cell.Abandon(cottonlanding.ErrAmbiguous)
+	}
+	w.epoch++
+	w.plan = nil
+	policy, _ := placer.Get(placer.Fallback)
+	w.cell = planner.New(planner.Setup{Partition: partition, Epoch: w.epoch, BeforeUntil: before}, w.timing, planner.Policy{Placement: policy}, quiet())
+	w.cell.SetQueues(w.queues)
+	w.cell.SetWorkers(slices.Clone(w.workers), w.now)
+	require.NoError(w.t, w.cell.Load(w.scan(planner.SpecKey(partition, "")), w.scan(planner.StateKey(partition, "")), w.now))
+}
+
+func (w *world) scan(prefix cottonlanding.Key) []cottonlanding.Row {
+	var out []cottonlanding.Row
+	for key, row := range w.rows {
+		if len(key) > len(prefix) && key[:len(prefix)] == prefix {
+			out = append(out, row)
+		}
+	}
+	slices.SortFunc(out, func(a, b cottonlanding.Row) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// begin takes the next plan; commit applies it.
+func (w *world) begin() {
+	if w.plan == nil {
+		w.cell.Decide(w.now, int64(w.now))
+		w.plan = w.cell.Plan(w.now)
+	}
+}
+
+func (w *world) apply() {
+	w.version++
+	for _, write := range w.plan.Writes {
+		require.Equal(w.t, w.rows[write.Key].Version, write.Expect, "the version of %s", write.Key)
+		if write.Delete {
+			delete(w.rows, write.Key)
+			continue
+		}
+		w.rows[write.Key] = cottonlanding.Row{Key: write.Key, Version: w.version, Value: write.Value}
+	}
+}
+
+func (w *world) commit() {
+	w.begin()
+	if w.plan == nil {
+		return
+	}
+	w.apply()
+	plan := w.plan
+	w.plan = nil
+	w.cell.Committed(plan, w.version)
+}
+
+func (w *world) send(order planner.Order) (cottonlanding.Reading, error) {
+	ctx := context.Background()
+	switch order.Verb {
+	case planner.VerbStart:
+		return w.runner.Start(ctx, order.Worker, order.Start)
+	case planner.VerbStop:
+		return 0, w.runner.Stop(ctx, order.Worker, order.Start.RunKey, order.Start.Epoch)
+	default:
+		return 0, w.runner.Pace(ctx, order.Worker, order.Start.RunKey, order.Percent, order.Start.Epoch)
+	}
+}
+
+// orders sends all due orders; fault decides what becomes of each.
+func (w *world) orders(fault func() string) {
+	for _, order := range w.cell.Orders(w.now) {
+		var reading cottonlanding.Reading
+		err := error(cottonlanding.ErrAmbiguous)
+		switch fault() {
+		case "lost":
+		case "refused":
+			err = cottonlanding.ErrUnavailable
+		case "late":
+			w.late = append(w.late, order)
+		case "unanswered":
+			_, _ = w.send(order)
+		default:
+			reading, err = w.send(order)
+		}
+		w.cell.Ordered(order, reading, err, w.now)
+	}
+}
+
+func (w *world) look(id cottonlanding.WorkerID, answered bool) {
+	next, found := w.cell.NextLook(id, w.now)
+	if !found || next.After > 0 {
+		return
+	}
+	report, err := w.runner.Look(context.Background(), next.Worker, next.Look)
+	if err == nil && !answered {
+		err = cottonlanding.ErrAmbiguous
+	}
+	if err != nil {
+		w.cell.LookFailed(id, err, w.now)
+		return
+	}
+	w.cell.Looked(id, report, w.now, w.now)
+}
+
+func (w *world) submit(id cottonlanding.WorkflowID, queue cottonlanding.QueueName, steps ...cottonlanding.Step) {
+	w.cell.Submit(cottonlanding.Workflow{ID: id, Queue: queue, Steps: steps}, w.now, func(err error) {
+		if err == nil {
+			w.accepted[id] = true
+		}
+	})
+}
+
+// settle lets everything go well until nothing more happens.
+func (w *world) settle() {
+	for _, order := range w.late {
+		_, _ = w.send(order)
+	}
+	w.late = nil
+	for range 400 {
+		w.turn(100)
+	}
+}
+
+// decide lets a while pass, commits and sends what is due; all goes well.
+func (w *world) decide(span cottonlanding.Millis) {
+	w.now += span
+	w.commit()
+	w.orders(func() string { return "" })
+}
+
+// turn is decide and a look at every worker.
+func (w *world) turn(span cottonlanding.Millis) {
+	w.decide(span)
+	w.lookAll()
+}
+
+func (w *world) lookAll() {
+	for _, worker := range w.workers {
+		w.look(worker.ID, true)
+	}
+}
