Sight: where a stop's time went, the pace of the owner, one line for many tasks

Change, no decision differs: a stopped run's end says when it was marked, when its first stop was sent and how often; every two seconds the owner logs its longest decision, commit, turn, pause, wait of an order and call, also as gauges; tasks that are placed or end at once share a line.

--- a/internal/workflow/driver/attendant.go
+++ b/internal/workflow/driver/attendant.go
@@ -94,13 +94,14 @@
 	}
 }
 
-// dispatch hands the due orders to one goroutine for each worker.
-func (d *Driver) dispatch() {
+// dispatch hands the due orders to one goroutine for each worker, and returns how
+// many workers have orders under way.
+func (d *Driver) dispatch() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.deps.Clock.Now()
 	if now >= d.deps.ValidUntil() {
-		return
+		return len(d.senders)
 	}
 	for _, order := range d.cell.Orders(now) {
 		id := order.Worker.ID
@@ -110,6 +111,7 @@
 			d.work.Go(func() { d.sendAll(id) })
 		}
 	}
+	return len(d.senders)
 }
 
 // sendAll sends the orders to one worker until there are no more.
@@ -127,6 +129,7 @@
 		d.mu.Unlock()
 		order.SentAt = d.deps.Clock.Now()
 		reading, err := d.send(order)
+		d.watch.noteOrder(order.GivenAt, order.SentAt, d.deps.Clock.Now())
 		d.mu.Lock()
 		if d.cell != nil {
 			d.cell.Ordered(order, reading, err, d.deps.Clock.Now())
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -66,6 +66,7 @@
 	listed   []cottonlanding.WorkerInfo
 
 	committer *committer.Committer
+	watch     *watch
 	stalled   atomic.Bool
 	kicked    chan struct{}
 	// stopping ends the decisions, ended tells that they have ended.
@@ -88,6 +89,7 @@
 		policy:   policy,
 		attended: make(map[cottonlanding.WorkerID]chan struct{}),
 		senders:  make(map[cottonlanding.WorkerID][]planner.Order),
+		watch:    newWatch(deps.Log),
 		kicked:   make(chan struct{}, 1),
 		stopping: make(chan struct{}),
 		ended:    make(chan struct{}),
@@ -231,6 +233,9 @@
 	return d.cell.Counts()
 }
 
+// Pace returns how quickly this owner got on lately.
+func (d *Driver) Pace() Pace { return d.watch.pace() }
+
 func (d *Driver) kick() {
 	select {
 	case d.kicked <- struct{}{}:
@@ -279,6 +284,7 @@
 	plan := d.cell.Plan(now)
 	superseded := d.cell.Superseded()
 	d.mu.Unlock()
+	decided := d.deps.Clock.Now()
 	if superseded {
 		d.lose("a worker has seen a newer owner")
 		return false
@@ -291,7 +297,9 @@
 			return false
 		}
 	}
-	d.dispatch()
+	committed := d.deps.Clock.Now()
+	queued := d.dispatch()
+	d.watch.noteTurn(turnTimes{began: now, decided: decided, committed: committed, ended: d.deps.Clock.Now()}, queued)
 	return true
 }
 
--- a/internal/workflow/gateway/gauges.go
+++ b/internal/workflow/gateway/gauges.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "strings"
+import (
+	"strings"
+
+	"github.com/cottonlanding/cottonlanding"
+)
 
 // SetGauges hands the owner's counts to gauge. Of hosts that are no owner the
 // counts are left out, so that sums over all hosts stay true.
@@ -23,7 +27,25 @@
 	} {
 		gauge(name, float64(count))
 	}
+	for name, span := range g.pace() {
+		gauge(name, span.Duration().Seconds())
+	}
 	for kind, count := range counts.Ends {
 		gauge("runs_ended_"+strings.ToLower(string(kind)), float64(count))
 	}
 }
+
+// pace returns the gauges of how quickly the owner got on lately.
+func (g *Gateway) pace() map[string]cottonlanding.Millis {
+	local := g.local()
+	if local == nil {
+		return nil
+	}
+	pace := local.Pace()
+	return map[string]cottonlanding.Millis{
+		"owner_longest_turn_seconds":       pace.Turn,
+		"owner_longest_pause_seconds":      pace.Pause,
+		"owner_longest_order_wait_seconds": pace.OrderWait,
+		"owner_longest_order_seconds":      pace.OrderCall,
+	}
+}
--- a/internal/workflow/planner/health.go
+++ b/internal/workflow/planner/health.go
@@ -73,6 +73,6 @@
 		c.counts.Stuck++
 		r.task.failedOn = append(r.task.failedOn, w.info.ID)
 		w.health.noteFailure(now)
-		c.stop(r, "it stands still")
+		c.stop(r, "it stands still", now)
 	}
 }
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -269,7 +269,7 @@
 	j.state, j.reason, j.ended = state, reason, now
 	j.eachTask(func(t *task) {
 		if t.run != nil {
-			c.stop(t.run, "the workflow ended")
+			c.stop(t.run, "the workflow ended", now)
 		}
 	})
 	c.order = slices.DeleteFunc(c.order, func(other *job) bool { return other == j })
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -96,7 +96,7 @@
 			pace: pace, paceGoal: fullPace, placedAt: now, moved: now}
 		w.addRun(t.run)
 		if t.job.state.Final() {
-			c.stop(t.run, "the workflow ended")
+			c.stop(t.run, "the workflow ended", now)
 		}
 	}
 }
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -75,9 +75,7 @@
 	w.answered = now
 	w.changed()
 	w.read(report.Reading, now)
-	for _, end := range report.Ended {
-		c.noteEnd(w, end, now)
-	}
+	c.noteEnds(w, report.Ended, now)
 	c.noteRunning(w, report, sentAt, now)
 	c.moveStuck(w, now)
 	c.controlPace(w, now)
@@ -119,7 +117,7 @@
 		listed[progress.RunKey] = true
 		r := w.runs.get(progress.RunKey)
 		if r == nil {
-			r = c.adoptOrphan(w, progress.RunKey)
+			r = c.adoptOrphan(w, progress.RunKey, now)
 		}
 		r.progress(progress, now)
 	}
@@ -140,7 +138,7 @@
 }
 
 // adoptOrphan keeps the books of a run that no task asks for, until it is stopped.
-func (c *Cell) adoptOrphan(w *worker, key cottonlanding.RunKey) *run {
+func (c *Cell) adoptOrphan(w *worker, key cottonlanding.RunKey, now cottonlanding.Millis) *run {
 	r := &run{RunKey: key, worker: w, phase: started, pace: fullPace, paceGoal: fullPace}
 	if j := c.jobs[key.Task.Workflow]; j != nil {
 		if t := j.task(key.Task); t != nil {
@@ -149,7 +147,7 @@
 	}
 	w.addRun(r)
 	c.log.Warn("run that no task asks for", "Task", key.Task.String(), "Run", key.Number, "Worker", w.info.ID)
-	c.stop(r, "no task asks for it")
+	c.stop(r, "no task asks for it", now)
 	return r
 }
 
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -26,8 +26,10 @@
 	Start  cottonlanding.RunStart
 	// Percent is the pace that VerbPace asks for.
 	Percent int
-	// SentAt is set by the driver just before it sends.
-	SentAt cottonlanding.Millis
+	// GivenAt is when the cell gave the order out, SentAt is set by the driver just
+	// before it sends.
+	GivenAt cottonlanding.Millis
+	SentAt  cottonlanding.Millis
 }
 
 // Orders returns what is to be sent now. Each order must be reported with Ordered.
@@ -66,13 +68,18 @@
 		return Order{}, false
 	}
 	order := Order{
-		Worker: cottonlanding.WorkerRef{ID: w.info.ID, Address: w.info.Address},
-		Start:  cottonlanding.RunStart{RunKey: r.RunKey, Epoch: c.setup.Epoch},
+		Worker:  cottonlanding.WorkerRef{ID: w.info.ID, Address: w.info.Address},
+		Start:   cottonlanding.RunStart{RunKey: r.RunKey, Epoch: c.setup.Epoch},
+		GivenAt: now,
 	}
 	switch {
 	case r.stopping:
 		order.Verb = VerbStop
-		return order, r.phase >= sent && (r.stopAcked == 0 || now-r.stopAcked > 2*c.timing.StopTimeout)
+		due := r.phase >= sent && (r.stopAcked == 0 || now-r.stopAcked > 2*c.timing.StopTimeout)
+		if due {
+			r.stopTries++
+		}
+		return order, due
 	case r.phase == cleared || r.phase == sent:
 		order.Verb = VerbStart
 		order.Start.Payload = r.task.job.Payload
@@ -111,7 +118,7 @@
 	case order.Verb == VerbStart:
 		c.startAnswered(w, r, err, now)
 	case order.Verb == VerbStop:
-		c.stopAnswered(r, err, now)
+		c.stopAnswered(r, order, err, now)
 	default:
 		r.paceAnswered(order.Percent, err, now)
 	}
@@ -158,14 +165,17 @@
 		w.health.noteFailure(now)
 	}
 	if r.doubtful {
-		c.stop(r, "its worker refused it")
+		c.stop(r, "its worker refused it", now)
 		return
 	}
 	w.blockedUntil = now + orderPause
 	c.vanish(r, now)
 }
 
-func (c *Cell) stopAnswered(r *run, err error, now cottonlanding.Millis) {
+func (c *Cell) stopAnswered(r *run, order Order, err error, now cottonlanding.Millis) {
+	if r.stopSentAt == 0 {
+		r.stopSentAt = order.SentAt
+	}
 	if err == nil {
 		r.stopAcked = now
 		if r.ruledOutAt == 0 {
--- a/internal/workflow/planner/pace.go
+++ b/internal/workflow/planner/pace.go
@@ -119,7 +119,7 @@
 		f.worker.ordersDue = true
 	}
 	if f.paceGoal == 0 && now-f.paceSince > pacePatience && f.task != nil && c.betterPlace(f, now) {
-		c.stop(f, "it disturbs what serves beside it")
+		c.stop(f, "it disturbs what serves beside it", now)
 	}
 }
 
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -65,7 +65,7 @@
 		}
 		for _, r := range w.runs.all() {
 			if r.task != nil && !r.stopping && (r.step.Lasting || r.step.Checkpoints) {
-				c.stop(r, "its worker is leaving")
+				c.stop(r, "its worker is leaving", now)
 			}
 		}
 	}
@@ -89,6 +89,7 @@
 
 // placeStage gives the waiting tasks of a step to workers, and returns how many.
 func (c *Cell) placeStage(s *stage, misses *missList, now cottonlanding.Millis) int {
+	defer c.tellPlaced()
 	placed := 0
 	for _, t := range s.tasks {
 		if t.state != taskWaiting {
@@ -144,8 +145,7 @@
 		t.job.state = cottonlanding.WorkflowRunning
 	}
 	c.touch(t.job)
-	c.log.Info("task placed", "Task", t.ref.String(), "Run", number, "Worker", w.info.ID, "Waited", now-t.since,
-		"LookAge", now-w.answered, "Free", int64(w.free().CPU))
+	c.stories.notePlaced(t, w, now)
 }
 
 // preference orders the workers that fit a task; lower ones are asked first.
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -46,7 +46,7 @@
 	t.roomUntil = now + roomPatience
 	for _, r := range best {
 		c.counts.Evicted++
-		c.stop(r, "it gives way to "+t.ref.String())
+		c.stop(r, "it gives way to "+t.ref.String(), now)
 	}
 }
 
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -8,6 +8,14 @@
 // may leave others out.
 const endsPerAnswer = 500
 
+// noteEnds takes in the ends that an answer of a worker lists.
+func (c *Cell) noteEnds(w *worker, ends []cottonlanding.RunEnd, now cottonlanding.Millis) {
+	for _, end := range ends {
+		c.noteEnd(w, end, now)
+	}
+	c.tellEnded(w)
+}
+
 // noteEnd takes in the end of a run.
 func (c *Cell) noteEnd(w *worker, end cottonlanding.RunEnd, now cottonlanding.Millis) {
 	if end.Serial <= w.noted {
@@ -24,13 +32,12 @@
 	}
 	c.counts.Ends[end.Kind]++
 	w.removeRun(end.RunKey)
+	c.noteEnded(r, end, now)
 	t := r.task
 	if t == nil || t.run != r {
 		return
 	}
 	t.run = nil
-	c.log.Info("run ended", "Task", t.ref.String(), "Run", r.Number, "Worker", w.info.ID, "End", end.Kind,
-		"Serial", end.Serial, "After", now-r.placedAt, "Percent", r.percent)
 	if t.job.state.Final() {
 		return
 	}
@@ -65,7 +72,7 @@
 	c.finish(t, now)
 	for _, member := range t.stage.tasks {
 		if member.state == taskDone && member.run != nil {
-			c.stop(member.run, "an earlier run was done")
+			c.stop(member.run, "an earlier run was done", now)
 		}
 	}
 }
@@ -140,11 +147,11 @@
 }
 
 // stop makes a run end. One that was never sent ends at once.
-func (c *Cell) stop(r *run, reason string) {
+func (c *Cell) stop(r *run, reason string, now cottonlanding.Millis) {
 	if r.stopping {
 		return
 	}
-	r.stopping, r.stopReason = true, reason
+	r.stopping, r.stopReason, r.stopSince = true, reason, now
 	r.worker.changed()
 	c.log.Info("run to be stopped", "Task", r.Task.String(), "Run", r.Number, "Worker", r.worker.info.ID, "Reason", reason)
 }
@@ -162,7 +169,7 @@
 			case r.phase < sent && (r.stopping || w.leaving()):
 				c.vanish(r, now)
 			case r.phase == sent && w.leaving():
-				c.stop(r, "its worker is leaving and has not told of the start")
+				c.stop(r, "its worker is leaving and has not told of the start", now)
 			}
 		}
 	}
--- /dev/null
+++ b/internal/workflow/planner/story.go
@@ -0,0 +1,64 @@
+package planner
+
+import (
+	"fmt"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// stories collects what happened to many tasks at once, so that one line of the log
+// tells it: an owner of hundreds of workers places and ends a thousand runs a second.
+type stories struct {
+	placed []string
+	ended  []string
+	// waited is the longest wait among placed, lookAge the age of the oldest answer
+	// of a worker among them.
+	waited  cottonlanding.Millis
+	lookAge cottonlanding.Millis
+}
+
+// notePlaced adds a task that was given to a worker.
+func (s *stories) notePlaced(t *task, w *worker, now cottonlanding.Millis) {
+	s.placed = append(s.placed, fmt.Sprintf("%s#%d@%s", t.ref, t.number, w.info.ID))
+	s.waited = max(s.waited, now-t.since)
+	s.lookAge = max(s.lookAge, now-w.answered)
+}
+
+// tellPlaced logs the tasks that were placed, each as task#run@worker.
+func (c *Cell) tellPlaced() {
+	s := &c.stories
+	if len(s.placed) > 0 {
+		c.log.Info("tasks placed", "Tasks", s.placed, "LongestWait", s.waited, "OldestLook", s.lookAge)
+	}
+	s.placed, s.waited, s.lookAge = nil, 0, 0
+}
+
+// noteEnded adds a run that ended by itself. One that was told to stop gets a line
+// of its own, which shows how long each part of that took.
+func (c *Cell) noteEnded(r *run, end cottonlanding.RunEnd, now cottonlanding.Millis) {
+	if !r.stopping {
+		story := fmt.Sprintf("%s#%d %s after %d at %d%%", r.Task, r.Number, end.Kind, now-r.placedAt, r.percent)
+		c.stories.ended = append(c.stories.ended, story)
+		return
+	}
+	c.log.Info("stopped run ended", "Task", r.Task.String(), "Run", r.Number, "Worker", r.worker.info.ID, "End", end.Kind,
+		"Serial", end.Serial, "Reason", r.stopReason, "After", now-r.placedAt, "MarkedBefore", now-r.stopSince,
+		"SentBefore", r.stopSentBefore(now), "Tries", r.stopTries)
+}
+
+// stopSentBefore returns how long ago the first stop was sent, -1 if no answer to it
+// has been taken in yet.
+func (r *run) stopSentBefore(now cottonlanding.Millis) cottonlanding.Millis {
+	if r.stopSentAt == 0 {
+		return -1
+	}
+	return now - r.stopSentAt
+}
+
+// tellEnded logs the runs of a worker that ended by themselves, each as task#run.
+func (c *Cell) tellEnded(w *worker) {
+	if len(c.stories.ended) > 0 {
+		c.log.Info("runs ended", "Worker", w.info.ID, "Ends", c.stories.ended, "Serial", w.noted)
+	}
+	c.stories.ended = nil
+}
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -65,6 +65,11 @@
 	stopping   bool
 	stopReason string
 	stopAcked  cottonlanding.Millis
+	// stopSince is when the run was marked, stopSentAt when its first stop that was
+	// answered or timed out left this process, stopTries how many were given out.
+	stopSince  cottonlanding.Millis
+	stopSentAt cottonlanding.Millis
+	stopTries  int
 	// ruledOutAt is when the worker first took that: from then on it never starts the
 	// run, however often it is told again.
 	ruledOutAt cottonlanding.Millis
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -51,6 +51,7 @@
 	queues   cottonlanding.Queues
 	timing   planner.Timing
 	plan     *planner.Plan
+	log      *slog.Logger
 }
 
 func newWorld(t *rapid.T) *world {
@@ -60,6 +61,7 @@
 		rows:     make(map[cottonlanding.Key]cottonlanding.Row),
 		accepted: make(map[cottonlanding.WorkflowID]bool),
 		timing:   timing,
+		log:      quiet(),
 		queues: cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{
 			"Urgent": {Name: "Urgent", Service: "S", Priority: 0, Attempts: 3, Stretch: 2, LatencyTarget: 1000},
 			"Bulk":   {Name: "Bulk", Service: "S", Priority: 2, Attempts: 2, Stretch: 2, LatencyTarget: 1000},
@@ -97,7 +99,7 @@
 	w.epoch++
 	w.plan = nil
 	policy, _ := placer.Get(placer.Fallback)
-	w.cell = planner.New(planner.Setup{Partition: partition, Epoch: w.epoch, BeforeUntil: before}, w.timing, planner.Policy{Placement: policy}, quiet())
+	w.cell = planner.New(planner.Setup{Partition: partition, Epoch: w.epoch, BeforeUntil: before}, w.timing, planner.Policy{Placement: policy}, w.log)
 	w.cell.SetQueues(w.queues)
 	w.cell.SetWorkers(slices.Clone(w.workers), w.now)
 	require.NoError(w.t, w.cell.Load(w.scan(planner.SpecKey(partition, "")), w.scan(planner.StateKey(partition, "")), w.now))
