--- /dev/null
+++ b/internal/workflow/driver/driver_test.go
@@ -0,0 +1,287 @@
+package driver_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/platform/keeper"
+	"github.com/cottonlanding/cottonlanding/internal/policy/placer"
+	"github.com/cottonlanding/cottonlanding/internal/stand/runner"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/driver"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+const (
+	partition = cottonlanding.Partition("Test")
+	ownerRow  = cottonlanding.Key("Test:Owner")
+	// patience is how long a test waits for what should come at once.
+	patience = 10 * time.Second
+)
+
+// owner is one driver with a table and workers of its own.
+type owner struct {
+	t      *testing.T
+	clock  cottonlanding.Clock
+	runner *runner.Runner
+	driver *driver.Driver
+}
+
+// setup says what a test needs otherwise than usual.
+type setup struct {
+	workers int
+	// room is how many tasks of one core each worker takes.
+	room   int
+	policy cottonlanding.PlacementPolicy
+	// client wraps the workers, table the table.
+	client func(cottonlanding.RunClient) cottonlanding.RunClient
+	table  func(cottonlanding.Table) cottonlanding.Table
+}
+
+func newOwner(t *testing.T, s setup) *owner {
+	o := &owner{t: t, clock: cottonlanding.NewClock()}
+	o.runner = runner.New(o.clock, func(key cottonlanding.RunKey) runner.Fate {
+		return runner.Fate{Lasts: 200, Forever: key.Task.Workflow == "lasting"}
+	})
+	var workers []cottonlanding.WorkerInfo
+	for number := range s.workers {
+		id := cottonlanding.WorkerID(fmt.Sprintf("w%d", number))
+		o.runner.Add(id, 5000)
+		workers = append(workers, cottonlanding.WorkerInfo{ID: id, Address: cottonlanding.Address(id), Service: "S",
+			State: cottonlanding.Live, Capacity: cottonlanding.Resources{CPU: 1000 * cottonlanding.Millicores(s.room), Memory: 1 << 50}})
+	}
+	table := cottonlanding.Table(keeper.New())
+	_, err := table.Commit(context.Background(), cottonlanding.Transaction{ID: "owner", Writes: []cottonlanding.Write{{Key: ownerRow}}})
+	require.NoError(t, err)
+	rows, err := table.Read(context.Background(), ownerRow)
+	require.NoError(t, err)
+	if s.table != nil {
+		table = s.table(table)
+	}
+	client := cottonlanding.RunClient(&patientWorkers{o.runner})
+	if s.client != nil {
+		client = s.client(client)
+	}
+	queues := cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{
+		"Q": {Name: "Q", Service: "S", Attempts: 3, Stretch: 2, LatencyTarget: 1000},
+	}}
+	o.driver = driver.New(driver.Dependencies{
+		Table:       table,
+		Workers:     client,
+		Clock:       o.clock,
+		Log:         slog.New(slog.NewTextHandler(io.Discard, nil)),
+		ListWorkers: func() ([]cottonlanding.WorkerInfo, bool) { return workers, true },
+		Queues:      func() cottonlanding.Queues { return queues },
+		ValidUntil:  func() cottonlanding.Millis { return o.clock.Now() + cottonlanding.Minute },
+		Lost:        func() { t.Error("the ownership was lost") },
+	}, planner.Setup{
+		Partition: partition,
+		Epoch:     1,
+		Guard:     cottonlanding.Check{Key: ownerRow, Expect: rows[0].Version},
+	}, planner.Timing{Lease: 6000, CutOffGrace: 1000, StopTimeout: 200, Retention: cottonlanding.Minute}, planner.Policy{Placement: s.policy})
+	return o
+}
+
+// submit hands in a workflow of one step, once the owner has loaded its rows.
+func (o *owner) submit(id cottonlanding.WorkflowID, step cottonlanding.Step) {
+	o.t.Helper()
+	o.eventually("the workflow is accepted", func() bool { return o.offer(id, step) == nil })
+}
+
+// offer hands in a workflow of one step once.
+func (o *owner) offer(id cottonlanding.WorkflowID, step cottonlanding.Step) error {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	step.Resources = cottonlanding.Resources{CPU: 1000}
+	return o.driver.Submit(ctx, cottonlanding.Workflow{ID: id, Queue: "Q", Steps: []cottonlanding.Step{step}})
+}
+
+func (o *owner) cancel(id cottonlanding.WorkflowID) {
+	o.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	require.NoError(o.t, o.driver.Cancel(ctx, id))
+}
+
+// eventually waits on the clock of the test, real or virtual.
+func (o *owner) eventually(what string, holds func() bool) {
+	o.t.Helper()
+	for began := time.Now(); !holds(); time.Sleep(5 * time.Millisecond) {
+		require.Less(o.t, time.Since(began), patience, what)
+	}
+}
+
+func spread() cottonlanding.PlacementPolicy {
+	policy, _ := placer.Get(placer.Fallback)
+	return policy
+}
+
+// patientWorkers hold the answer to a look back until a run has ended, as real ones do.
+type patientWorkers struct {
+	*runner.Runner
+}
+
+// lookPause is how often they look for an end meanwhile.
+const lookPause = 20 * time.Millisecond
+
+func (p *patientWorkers) Look(ctx context.Context, worker cottonlanding.WorkerRef, look cottonlanding.Look) (cottonlanding.RunReport, error) {
+	until := time.Now().Add(look.Wait.Duration())
+	for {
+		report, err := p.Runner.Look(ctx, worker, look)
+		if err != nil || len(report.Ended) > 0 || !time.Now().Before(until) {
+			return report, err
+		}
+		select {
+		case <-time.After(lookPause):
+		case <-ctx.Done():
+			return cottonlanding.RunReport{}, cottonlanding.ErrAmbiguous
+		}
+	}
+}
+
+// slowStarts answers starts of workflow "slow" only after a while.
+type slowStarts struct {
+	cottonlanding.RunClient
+	after   time.Duration
+	pending atomic.Int64
+}
+
+func (s *slowStarts) Start(ctx context.Context, worker cottonlanding.WorkerRef, start cottonlanding.RunStart) (cottonlanding.Reading, error) {
+	if start.Task.Workflow != "slow" {
+		return s.RunClient.Start(ctx, worker, start)
+	}
+	s.pending.Add(1)
+	defer s.pending.Add(-1)
+	select {
+	case <-time.After(s.after):
+		return s.RunClient.Start(ctx, worker, start)
+	case <-ctx.Done():
+		return 0, cottonlanding.ErrAmbiguous
+	}
+}
+
+// heldTable can hold its commits back.
+type heldTable struct {
+	cottonlanding.Table
+	mu   sync.Mutex
+	held chan struct{}
+}
+
+func (h *heldTable) Commit(ctx context.Context, transaction cottonlanding.Transaction) (cottonlanding.Receipt, error) {
+	h.mu.Lock()
+	held := h.held
+	h.mu.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-ctx.Done():
+			return cottonlanding.Receipt{}, cottonlanding.ErrUnavailable
+		}
+	}
+	return h.Table.Commit(ctx, transaction)
+}
+
+func (h *heldTable) hold(held chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.held = held
+}
+
+// TestOwnerUnderLoad: what must reach a worker in time must not wait for what can.
+func TestOwnerUnderLoad(t *testing.T) {
+	t.Run("a stop does not wait for other orders to its worker", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			starts := &slowStarts{after: 900 * time.Millisecond}
+			o := newOwner(t, setup{workers: 1, room: 32, policy: spread(), client: func(client cottonlanding.RunClient) cottonlanding.RunClient {
+				starts.RunClient = client
+				return starts
+			}})
+			defer o.driver.Close()
+			o.submit("lasting", cottonlanding.Step{Tasks: 1, Lasting: true})
+			o.eventually("the lasting task runs", func() bool { return o.runner.Lasting() == 1 })
+			o.submit("slow", cottonlanding.Step{Tasks: 10})
+			o.eventually("starts are under way", func() bool { return starts.pending.Load() > 0 })
+			o.cancel("lasting")
+			cancelled := time.Now()
+			o.eventually("the stop arrives", func() bool { return o.runner.Lasting() == 0 })
+			require.Less(t, time.Since(cancelled), 300*time.Millisecond)
+		})
+	})
+	t.Run("a stop does not wait for a later commit", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			table := &heldTable{}
+			var refuse atomic.Bool
+			o := newOwner(t, setup{workers: 1, room: 32, policy: spread(),
+				table: func(inner cottonlanding.Table) cottonlanding.Table {
+					table.Table = inner
+					return table
+				},
+				client: func(client cottonlanding.RunClient) cottonlanding.RunClient {
+					return &firstStopFails{RunClient: client, fails: &refuse}
+				}})
+			defer o.driver.Close()
+			o.submit("lasting", cottonlanding.Step{Tasks: 1, Lasting: true})
+			o.eventually("the lasting task runs", func() bool { return o.runner.Lasting() == 1 })
+			refuse.Store(true)
+			o.cancel("lasting")
+			held := make(chan struct{})
+			table.hold(held)
+			go o.offer("next", cottonlanding.Step{Tasks: 1}) // its commit is held back
+			cancelled := time.Now()
+			o.eventually("the stop arrives", func() bool { return o.runner.Lasting() == 0 })
+			require.Less(t, time.Since(cancelled), 600*time.Millisecond)
+			close(held)
+		})
+	})
+	t.Run("decisions leave time for the rest", func(t *testing.T) {
+		policy := &costly{PlacementPolicy: spread(), cost: time.Millisecond}
+		o := newOwner(t, setup{workers: 40, room: 100, policy: policy})
+		defer o.driver.Close()
+		o.submit("first", cottonlanding.Step{Tasks: 1})
+		policy.spent.Store(0)
+		began := time.Now()
+		for number := range 20 {
+			go o.offer(cottonlanding.WorkflowID(fmt.Sprintf("w%d", number)), cottonlanding.Step{Tasks: 300})
+			time.Sleep(100 * time.Millisecond)
+		}
+		share := float64(policy.spent.Load()) / float64(time.Since(began))
+		require.Less(t, share, 0.6, "the share of the time that decisions take")
+		require.Greater(t, share, 0.1, "the owner decides all the time here")
+	})
+}
+
+// firstStopFails refuses one stop once it is told to.
+type firstStopFails struct {
+	cottonlanding.RunClient
+	fails *atomic.Bool
+}
+
+func (f *firstStopFails) Stop(ctx context.Context, worker cottonlanding.WorkerRef, run cottonlanding.RunKey, epoch cottonlanding.Epoch) error {
+	if f.fails.Swap(false) {
+		return cottonlanding.ErrUnavailable
+	}
+	return f.RunClient.Stop(ctx, worker, run, epoch)
+}
+
+// costly is a policy that takes a while for each task, as on a slow processor.
+type costly struct {
+	cottonlanding.PlacementPolicy
+	cost  time.Duration
+	spent atomic.Int64
+}
+
+func (c *costly) Place(task cottonlanding.TaskView, candidates []cottonlanding.WorkerView) int {
+	began := time.Now()
+	time.Sleep(c.cost)
+	c.spent.Add(int64(time.Since(began)))
+	return c.PlacementPolicy.Place(task, candidates)
+}
