Interrupted lasting tasks go first once they have waited for five seconds

Ruled out: that kept room idles beside those that would fit.

Change: lasting tasks have claims. Those that had a run and have waited for five seconds go before all else of their priority, also within their step, and take room that is kept for others; then come those that never ran. A worker is no longer kept once its task doesn't wait, or can't find its room there any more.

TestFaults, 2,000 checks of 60 steps: passed.

What a new owner doesn't know is since when a task waits: it counts from its own beginning.

--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -22,6 +22,9 @@
 	// lateAt is when the workflow can't be done in its time any more, zero before it
 	// was asked for and when it must be worked out anew.
 	lateAt cottonlanding.Millis
+	// lasts says that a step of the job is lasting, missed that a task of such a step
+	// was interrupted and has waited for long.
+	lasts, missed bool
 	// begun says that a task of the job has been placed once.
 	begun bool
 	// dirtySince is the number of plans made before the job's first change that is not
@@ -92,6 +95,7 @@
 		state:    cottonlanding.WorkflowPending,
 		accepted: now,
 		rounds:   make(map[int]*round),
+		lasts:    slices.ContainsFunc(workflow.Steps, func(s cottonlanding.Step) bool { return s.Lasting }),
 	}
 	if workflow.Schedule.Rounds == 0 {
 		j.addRound(0, now)
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -91,7 +91,7 @@
 func (c *Cell) placeStage(s *stage, misses *missList, now cottonlanding.Millis) int {
 	defer c.tellPlaced()
 	placed := 0
-	for _, t := range s.tasks {
+	for _, t := range s.inTurn(now) {
 		if t.state != taskWaiting {
 			continue
 		}
@@ -106,6 +106,16 @@
 	return placed
 }
 
+// inTurn returns the tasks of a step in the order in which they are placed.
+func (s *stage) inTurn(now cottonlanding.Millis) []*task {
+	if !s.Lasting {
+		return s.tasks
+	}
+	tasks := slices.Clone(s.tasks)
+	slices.SortStableFunc(tasks, func(a, b *task) int { return compareTurns(a, b, now) })
+	return tasks
+}
+
 // pickUnlessMissed returns the worker for a task, without looking when a task
 // that needs no more found none in this pass.
 func (c *Cell) pickUnlessMissed(t *task, misses *missList, now cottonlanding.Millis) *worker {
@@ -137,9 +147,6 @@
 	key := cottonlanding.RunKey{Task: t.ref, Number: number}
 	t.run = &run{RunKey: key, task: t, worker: w, step: t.stage.Step, pace: fullPace, paceGoal: fullPace, placedAt: now, moved: now}
 	w.addRun(t.run)
-	if w.keptFor == t {
-		w.keptFor = nil
-	}
 	t.job.begun = true
 	if t.job.state == cottonlanding.WorkflowPending {
 		t.job.state = cottonlanding.WorkflowRunning
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -51,16 +51,16 @@
 }
 
 // keepRoom keeps a worker free for a lasting task that has waited for long although
-// there is room in sum, or small ones would take that as soon as one worker has
+// there is room in sum, or short ones would take that as soon as one worker has
 // enough of it.
 func (c *Cell) keepRoom(t *task, now cottonlanding.Millis) {
-	if !t.stage.Lasting || t.stage.Fills || now-t.since < keepAfter || !c.roomInSum(t, now) {
+	if !t.waitsLong(now) || !c.roomInSum(t, now) {
 		return
 	}
 	kept := 0
 	var best *worker
 	for _, w := range c.sortedWorkers() {
-		if w.keptFor != nil && now < w.keptUntil {
+		if w.kept(now) {
 			if w.keptFor == t {
 				return
 			}
@@ -79,6 +79,41 @@
 	c.log.Info("room kept", "Task", t.ref.String(), "Worker", best.info.ID, "Waited", now-t.since, "Free", int64(c.room(best, now).free.CPU))
 }
 
+// waitsLong reports whether a lasting task has waited for so long that a worker is
+// kept for it.
+func (t *task) waitsLong(now cottonlanding.Millis) bool {
+	waits := t.state == taskWaiting && !t.job.state.Final()
+	return waits && t.stage.Lasting && !t.stage.Fills && now-t.since >= keepAfter
+}
+
+// claim is how strong a claim on room a task has.
+type claim int
+
+const (
+	// noClaim is that of tasks that end by themselves, or wait only for a while.
+	noClaim claim = iota
+	// longClaim is that of lasting tasks that have waited for long.
+	longClaim
+	// brokenClaim is that of such that had a run: their users miss them, and the rule
+	// sets a time for their next run.
+	brokenClaim
+)
+
+func (t *task) claim(now cottonlanding.Millis) claim {
+	switch {
+	case !t.waitsLong(now):
+		return noClaim
+	case t.number == 0:
+		return longClaim
+	}
+	return brokenClaim
+}
+
+// compareTurns orders tasks by their claims, then by how long they wait.
+func compareTurns(a, b *task, now cottonlanding.Millis) int {
+	return cmp.Or(cmp.Compare(b.claim(now), a.claim(now)), cmp.Compare(a.since, b.since))
+}
+
 // passing returns the room of a worker beside its lasting tasks: what is free or
 // will be by itself.
 func (w *worker) passing() cottonlanding.Resources {
@@ -107,9 +142,20 @@
 	return need.Fits(sum)
 }
 
-// keptFrom reports whether the worker is kept for another task.
+// kept reports whether the worker is kept: the task for which that is still waits,
+// and may still find its room here.
+func (w *worker) kept(now cottonlanding.Millis) bool {
+	t := w.keptFor
+	return t != nil && now < w.keptUntil && t.waitsLong(now) && t.stage.Reserved().Fits(w.passing())
+}
+
+// keptFrom reports whether the worker's room is kept from a task: from all but the
+// one for which it is kept and those that go before that one.
 func (w *worker) keptFrom(t *task, now cottonlanding.Millis) bool {
-	return w.keptFor != nil && w.keptFor != t && now < w.keptUntil && !t.stage.Fills
+	if t.stage.Fills || w.keptFor == t || !w.kept(now) {
+		return false
+	}
+	return compareTurns(t, w.keptFor, now) >= 0
 }
 
 // victims returns the runs to stop on a worker for a task to fit, and the work
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -15,13 +15,17 @@
 )
 
 // waitingStages returns the steps with tasks to be placed, in order of priority,
-// then of acceptance, but those that are late already last.
+// then of acceptance, but those that are late already last, and those whose lasting
+// tasks were interrupted long ago first.
 func (c *Cell) waitingStages(now cottonlanding.Millis) []*stage {
 	var out []*stage
+	for _, j := range c.order {
+		j.missed = j.lasts && j.missesTask(now)
+	}
 	slices.SortStableFunc(c.order, func(a, b *job) int {
 		return cmp.Or(
 			cmp.Compare(a.queue.Priority, b.queue.Priority),
-			cmp.Compare(a.lateness(now), b.lateness(now)),
+			cmp.Compare(a.turn(now), b.turn(now)),
 			cmp.Compare(a.sequence, b.sequence))
 	})
 	for _, j := range c.order {
@@ -36,6 +40,27 @@
 	return out
 }
 
+// turn is where a workflow goes among those of its priority.
+func (j *job) turn(now cottonlanding.Millis) int {
+	if j.missed {
+		return -1
+	}
+	return j.lateness(now)
+}
+
+// missesTask reports whether a lasting task of the workflow was interrupted and has
+// waited for long since.
+func (j *job) missesTask(now cottonlanding.Millis) bool {
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			if s.Lasting && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.claim(now) == brokenClaim }) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func (s *stage) anyWaiting() bool {
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.state == taskWaiting })
 }
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -120,7 +120,7 @@
 	unnotedSince cottonlanding.Millis
 
 	health health
-	// keptFor is the task for which the worker is kept free until keptUntil.
+	// keptFor is the task for which the worker is kept free, until keptUntil at most.
 	keptFor   *task
 	keptUntil cottonlanding.Millis
 	// filledAt is when a filling task was last seen here.
