--- a/internal/workflow/driver/driver_test.go
+++ b/internal/workflow/driver/driver_test.go
@@ -259,6 +259,109 @@
 	})
 }
 
+// silentStarts gives the first start no answer, as a connection does that went
+// silent, and counts the others.
+type silentStarts struct {
+	cottonlanding.RunClient
+	sent atomic.Int64
+}
+
+func (s *silentStarts) Start(ctx context.Context, worker cottonlanding.WorkerRef, start cottonlanding.RunStart) (cottonlanding.Reading, error) {
+	if s.sent.Add(1) == 1 {
+		<-ctx.Done()
+		return 0, cottonlanding.ErrAmbiguous
+	}
+	return s.RunClient.Start(ctx, worker, start)
+}
+
+// TestNoStartOnceItIsToBeStopped: a start that waits behind an order without an
+// answer must not be sent once its run is to be stopped.
+func TestNoStartOnceItIsToBeStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		starts := &silentStarts{}
+		o := newOwner(t, setup{workers: 1, room: 32, policy: spread(), client: func(client cottonlanding.RunClient) cottonlanding.RunClient {
+			starts.RunClient = client
+			return starts
+		}})
+		defer o.driver.Close()
+		o.submit("slow", cottonlanding.Step{Tasks: 3})
+		o.eventually("the first start is sent", func() bool { return starts.sent.Load() == 1 })
+		o.cancel("slow")
+		time.Sleep(5 * time.Second)
+		require.EqualValues(t, 1, starts.sent.Load(), "starts that were sent")
+	})
+}
+
+// slowAnswers takes the processor of the owner for a while for each look that holds
+// nothing back, one after the other, as on a small host.
+type slowAnswers struct {
+	cottonlanding.RunClient
+	cost      time.Duration
+	processor chan struct{}
+	// silent workers give no answer.
+	silent   func(cottonlanding.WorkerID) bool
+	failed   atomic.Int64
+	answered sync.Map
+}
+
+func (s *slowAnswers) Look(ctx context.Context, worker cottonlanding.WorkerRef, look cottonlanding.Look) (cottonlanding.RunReport, error) {
+	if look.Wait > 0 {
+		return s.RunClient.Look(ctx, worker, look)
+	}
+	if s.silent(worker.ID) {
+		<-ctx.Done()
+		return cottonlanding.RunReport{}, cottonlanding.ErrAmbiguous
+	}
+	s.processor <- struct{}{}
+	time.Sleep(s.cost)
+	<-s.processor
+	if ctx.Err() != nil {
+		s.failed.Add(1) // the answer came, but nobody had time to read it
+		return cottonlanding.RunReport{}, cottonlanding.ErrAmbiguous
+	}
+	s.answered.Store(worker.ID, true)
+	return s.RunClient.Look(ctx, worker, look)
+}
+
+// TestNewOwnerAsksSomeWorkersAtATime: looks that are all sent at once by an owner too
+// slow to read the answers in time come to nothing, and are sent again. Workers that
+// are silent must not hold up the others.
+func TestNewOwnerAsksSomeWorkersAtATime(t *testing.T) {
+	const workers = 350
+	ask := func(t *testing.T, cost time.Duration, silent int) (*slowAnswers, time.Duration) {
+		answers := &slowAnswers{cost: cost, processor: make(chan struct{}, 1), silent: func(id cottonlanding.WorkerID) bool {
+			var number int
+			_, err := fmt.Sscanf(string(id), "w%d", &number)
+			require.NoError(t, err)
+			return number < silent
+		}}
+		o := newOwner(t, setup{workers: workers, room: 32, policy: spread(), client: func(client cottonlanding.RunClient) cottonlanding.RunClient {
+			answers.RunClient = client
+			return answers
+		}})
+		defer o.driver.Close()
+		began := time.Now()
+		o.eventually("all workers that aren't silent have answered", func() bool {
+			count := 0
+			answers.answered.Range(func(any, any) bool { count++; return true })
+			return count == workers-silent
+		})
+		return answers, time.Since(began)
+	}
+	t.Run("slow owner", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			answers, _ := ask(t, 10*time.Millisecond, 0)
+			require.Zero(t, answers.failed.Load(), "looks whose answers came too late")
+		})
+	})
+	t.Run("silent workers", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			_, took := ask(t, 100*time.Microsecond, workers/3)
+			require.Less(t, took, time.Second)
+		})
+	})
+}
+
 // firstStopFails refuses one stop once it is told to.
 type firstStopFails struct {
 	cottonlanding.RunClient
