Starts that are no longer wanted aren't sent; a new owner hears its workers before it judges them

Causes, of the same class (an owner that is late acts on what it believed before): - A start that waited behind others went out though its workflow was cancelled, or an earlier run had been done, meanwhile (UNASKED, TWICE). - TWICE: a new owner with little processor time asked all workers at once, read no answer within a second, took that for having asked and gave their runs up: what had ended well was started again.

Ruled out: notes of ends before their consequence is committed, workers that leave the list and come back or are replaced at their address (TestNotedEndsStand).

Change: right before a start is sent its run is asked whether it is to be stopped; looks that want an answer at once have 32 places, held for 250 ms at most; a worker counts as asked without an answer after 3 s of silence.

--- a/internal/workflow/driver/attendant.go
+++ b/internal/workflow/driver/attendant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -21,10 +22,34 @@
 		if !found {
 			return
 		}
-		if next.After > 0 {
+		switch {
+		case next.After > 0:
 			d.await(wake, next.After)
-			continue
+		case next.Look.Wait > 0:
+			d.look(next)
+		default:
+			d.lookInTurn(id)
 		}
+	}
+}
+
+// lookInTurn looks at a worker once few enough others are being looked at whose
+// answers come at once. A new owner asks all workers first: if it asked them together,
+// one that is short of processor time would find all answers too late. A worker that
+// gives no answer doesn't hold up the others for long.
+func (d *Driver) lookInTurn(id cottonlanding.WorkerID) {
+	select {
+	case d.promptLooks <- struct{}{}:
+	case <-d.ctx.Done():
+		return
+	}
+	var once sync.Once
+	leave := func() { once.Do(func() { <-d.promptLooks }) }
+	defer leave()
+	held := time.AfterFunc(promptHold.Duration(), leave)
+	defer held.Stop()
+	// What to ask, and whether the ownership still holds, may have changed meanwhile.
+	if next, found := d.nextLook(id); found && next.After == 0 {
 		d.look(next)
 	}
 }
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -34,6 +34,12 @@
 	// arrive is halved, down to leastPage.
 	firstPage = 150
 	leastPage = 25
+	// mostPromptLooks bounds the looks that ask for an answer at once, promptHold is how
+	// long one counts as such. Small hosts take some 10 ms for one, by estimate: the
+	// answers are then read within callTimeout. Where a third of 350 workers is cut off,
+	// the others are heard within a second.
+	mostPromptLooks = 32
+	promptHold      = 250 * cottonlanding.Millis(1)
 )
 
 // Dependencies are what a driver works with.
@@ -71,6 +77,8 @@
 	// decisionsDue and ordersDue wake the two loops before their next tick.
 	decisionsDue chan struct{}
 	ordersDue    chan struct{}
+	// promptLooks holds a place for each look that asks for an answer at once.
+	promptLooks chan struct{}
 	// stopping ends the decisions, ended tells that they have ended.
 	stopping chan struct{}
 	ended    chan struct{}
@@ -90,6 +98,7 @@
 		timing:       timing,
 		policy:       policy,
 		attended:     make(map[cottonlanding.WorkerID]chan struct{}),
+		promptLooks:  make(chan struct{}, mostPromptLooks),
 		outbox:       newOutbox(),
 		watch:        newWatch(deps.Log),
 		decisionsDue: make(chan struct{}, 1),
--- a/internal/workflow/driver/sender.go
+++ b/internal/workflow/driver/sender.go
@@ -79,11 +79,15 @@
 }
 
 // send checks right before it sends that the ownership still holds, because the
-// process may have been paused.
+// process may have been paused, and that a start is still wanted, because it may have
+// waited for those before it.
 func (d *Driver) send(order planner.Order) (cottonlanding.Reading, error) {
 	if order.SentAt >= d.deps.ValidUntil() {
 		return 0, fmt.Errorf("%w: the ownership has run out", cottonlanding.ErrLate)
 	}
+	if order.Unwanted() {
+		return 0, planner.ErrUnwanted
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, callTimeout.Duration())
 	defer cancel()
 	switch order.Verb {
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -95,8 +95,9 @@
 	}
 	if !w.failed {
 		c.log.Warn("worker does not answer", "Worker", id, "Runs", w.runs.size(), "Error", cause)
+		w.failed, w.failedSince = true, now
 	}
-	w.failed, w.asked = true, true
+	w.asked = w.asked || now-w.failedSince >= silence
 	w.nextLook = now + retryPause
 	if errors.Is(cause, cottonlanding.ErrStaleEpoch) {
 		c.superseded = true
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"github.com/cottonlanding/cottonlanding"
 )
@@ -30,6 +31,17 @@
 	// before it sends.
 	GivenAt cottonlanding.Millis
 	SentAt  cottonlanding.Millis
+
+	run *run
+}
+
+// ErrUnwanted reports a start that was not sent, because its run is to be stopped.
+var ErrUnwanted = fmt.Errorf("not sent, the run is to be stopped: %w", cottonlanding.ErrUnavailable)
+
+// Unwanted reports whether the order is a start whose run is to be stopped by now.
+// Such an order must not be sent. It may be asked while the cell is busy.
+func (o Order) Unwanted() bool {
+	return o.Verb == VerbStart && o.run != nil && o.run.unwanted.Load()
 }
 
 // Orders returns what is to be sent now. Each order must be reported with Ordered.
@@ -71,6 +83,7 @@
 		Worker:  cottonlanding.WorkerRef{ID: w.info.ID, Address: w.info.Address},
 		Start:   cottonlanding.RunStart{RunKey: r.RunKey, Epoch: c.setup.Epoch},
 		GivenAt: now,
+		run:     r,
 	}
 	switch {
 	case r.stopping:
@@ -144,6 +157,10 @@
 			r.phase, r.ackedAt, r.moved = started, now, now
 			c.counts.Starts++
 		}
+	case errors.Is(err, ErrUnwanted):
+		if !r.doubtful {
+			c.vanish(r, now) // else an earlier copy may start it, and it must be stopped
+		}
 	case errors.Is(err, cottonlanding.ErrConflict):
 		// It ended there; the next look lists the end, or shows that it was noted.
 		r.phase, r.ackedAt = started, now
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -152,6 +152,7 @@
 		return
 	}
 	r.stopping, r.stopReason, r.stopSince = true, reason, now
+	r.unwanted.Store(true)
 	r.worker.changed()
 	c.log.Info("run to be stopped", "Task", r.Task.String(), "Run", r.Number, "Worker", r.worker.info.ID, "Reason", reason)
 }
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -1,6 +1,8 @@
 package planner
 
 import (
+	"sync/atomic"
+
 	"github.com/cottonlanding/cottonlanding"
 )
 
@@ -21,6 +23,10 @@
 	// tenseWait is the same while a serving task needs watching: its figures are
 	// those of half a second.
 	tenseWait = 400 * cottonlanding.Millis(1)
+	// silence is for how long a worker must have given an owner no answer, from the first
+	// look that failed, to count as asked: one answer may come too late or get lost. The
+	// looks of a slow owner then have had time for three tries.
+	silence = 3 * cottonlanding.Second
 	// retryPause is the pause after a look that failed.
 	retryPause = 300 * cottonlanding.Millis(1)
 	// fullPercent is the progress of a lasting task that is at work.
@@ -70,6 +76,8 @@
 	stopSince  cottonlanding.Millis
 	stopSentAt cottonlanding.Millis
 	stopTries  int
+	// unwanted is stopping for those who send orders, while the cell is busy.
+	unwanted atomic.Bool
 	// ruledOutAt is when the worker first took that: from then on it never starts the
 	// run, however often it is told again.
 	ruledOutAt cottonlanding.Millis
@@ -106,12 +114,14 @@
 	// bound is the latest instant at which a lease of any owner can end.
 	bound cottonlanding.Millis
 
-	// asked says that a look of this owner got an answer, or got none in time.
+	// asked says that a look of this owner got an answer, or that none did for long.
 	asked bool
 	// answered is when the last answer to a look came, failed that the last look got none.
 	answered cottonlanding.Millis
 	failed   bool
-	nextLook cottonlanding.Millis
+	// failedSince is when the first of the looks that failed since the last answer did.
+	failedSince cottonlanding.Millis
+	nextLook    cottonlanding.Millis
 
 	// noted is the last end taken in, seen the last whose consequences are committed.
 	noted uint64
