An owner that is behind with its decisions refuses new work at once

Change: while the last decision took longer than 350 ms, a workflow that the owner does not know is refused with 503; it has not run. What may have been accepted before is answered as ever, and cancels are.

--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -34,6 +34,10 @@
 	// arrive is halved, down to leastPage.
 	firstPage = 150
 	leastPage = 25
+	// behindAfter is how long a decision takes at most for new work to be accepted: what
+	// comes just after it began waits for it, for as long a pause, for the next decision
+	// and for a commit, and has 1.2 s for all of that.
+	behindAfter = 350 * cottonlanding.Millis(1)
 	// mostPromptLooks bounds the looks that ask for an answer at once, promptHold is how
 	// long one counts as such. Small hosts take some 10 ms for one, by estimate: the
 	// answers are then read within callTimeout. Where a third of 350 workers is cut off,
@@ -74,6 +78,8 @@
 	outbox    *outbox
 	watch     *watch
 	stalled   atomic.Bool
+	// behind says that the last decision took longer than behindAfter.
+	behind atomic.Bool
 	// decisionsDue and ordersDue wake the two loops before their next tick.
 	decisionsDue chan struct{}
 	ordersDue    chan struct{}
@@ -170,9 +176,15 @@
 }
 
 // Submit hands in a workflow. The error is ErrUnavailable, ErrNotFound,
-// ErrCannotRun if it was not accepted, ErrAmbiguous if that is unknown.
+// ErrCannotRun if it was not accepted, ErrAmbiguous if that is unknown. While the
+// owner is behind with its decisions it refuses what it doesn't know yet at once:
+// the answer would come too late, and each workflow more would put it further behind.
 func (d *Driver) Submit(ctx context.Context, workflow cottonlanding.Workflow) error {
 	return d.ask(ctx, func(cell *planner.Cell, now cottonlanding.Millis, done func(error)) {
+		if d.behind.Load() && !cell.Knows(workflow.ID) {
+			done(fmt.Errorf("the owner is behind with its decisions: %w", cottonlanding.ErrUnavailable))
+			return
+		}
 		cell.Submit(workflow, now, done)
 	})
 }
@@ -308,6 +320,7 @@
 	superseded := d.cell.Superseded()
 	d.mu.Unlock()
 	took.decided = d.deps.Clock.Now()
+	d.noteBehind(took.decided - took.began)
 	if superseded {
 		d.lose("a worker has seen a newer owner")
 		return took, false
@@ -389,6 +402,13 @@
 	}
 }
 
+func (d *Driver) noteBehind(decided cottonlanding.Millis) {
+	behind := decided > behindAfter
+	if d.behind.Swap(behind) != behind {
+		d.deps.Log.Warn("decisions", "Behind", behind, "Took", decided)
+	}
+}
+
 func (d *Driver) noteStalled(stalled bool) {
 	if d.stalled.Swap(stalled) == stalled {
 		return
--- a/internal/workflow/driver/driver_test.go
+++ b/internal/workflow/driver/driver_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -362,6 +363,30 @@
 	})
 }
 
+// TestOwnerThatIsBehindRefusesAtOnce: what would only be answered after its client has
+// given up is refused at once, but for what may have been accepted already.
+func TestOwnerThatIsBehindRefusesAtOnce(t *testing.T) {
+	policy := &costly{PlacementPolicy: spread(), cost: time.Millisecond}
+	o := newOwner(t, setup{workers: 40, room: 100, policy: policy})
+	defer o.driver.Close()
+	o.submit("first", cottonlanding.Step{Tasks: 1})
+	for number := range 4 {
+		go o.offer(cottonlanding.WorkflowID(fmt.Sprintf("w%d", number)), cottonlanding.Step{Tasks: 800})
+	}
+	o.eventually("the owner falls behind", func() bool { return policy.spent.Load() > int64(time.Second) })
+	refused := 0
+	o.eventually("new work is refused", func() bool {
+		refused++
+		err := o.offer(cottonlanding.WorkflowID(fmt.Sprintf("late%d", refused)), cottonlanding.Step{Tasks: 1})
+		return errors.Is(err, cottonlanding.ErrUnavailable)
+	})
+	require.NoError(t, o.offer("w0", cottonlanding.Step{Tasks: 800}), "it was accepted before")
+	o.cancel("w0")
+	o.eventually("the owner has caught up", func() bool {
+		return o.offer("later", cottonlanding.Step{Tasks: 1}) == nil
+	})
+}
+
 // firstStopFails refuses one stop once it is told to.
 type firstStopFails struct {
 	cottonlanding.RunClient
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -205,6 +205,9 @@
 		"Queues", c.queues.Version, "Epoch", c.setup.Epoch)
 }
 
+// Knows reports whether a workflow was handed in before, accepted or not yet.
+func (c *Cell) Knows(id cottonlanding.WorkflowID) bool { return c.jobs[id] != nil }
+
 func (c *Cell) addJob(j *job) {
 	c.sequence++
 	j.sequence = c.sequence
