--- a/internal/stand/proxy/proxy.go
+++ b/internal/stand/proxy/proxy.go
@@ -43,6 +43,9 @@
 	listener net.Listener
 	target   string
 	accepted atomic.Int64
+	// kept and held count the connections that callers and the target hold open.
+	kept atomic.Int64
+	held atomic.Int64
 
 	mu      sync.Mutex
 	trouble Trouble
@@ -81,12 +84,11 @@
 // Accepted counts the connections so far.
 func (p *Proxy) Accepted() int { return int(p.accepted.Load()) }
 
-// Held counts the connections to the target that the target holds open.
-func (p *Proxy) Held() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return len(p.pairs)
-}
+// Kept counts the connections that callers hold open.
+func (p *Proxy) Kept() int { return int(p.kept.Load()) }
+
+// Held counts the connections that the target holds open.
+func (p *Proxy) Held() int { return int(p.held.Load()) }
 
 // Set changes what the proxy does from now on.
 func (p *Proxy) Set(now Trouble) {
@@ -151,16 +153,21 @@
 	p.mu.Lock()
 	p.pairs[one] = true
 	p.mu.Unlock()
-	go p.pipe(one, target, caller, false)
-	p.pipe(one, caller, target, true) // ends when the target has ended
+	var both sync.WaitGroup
+	both.Go(func() { p.pipe(one, target, caller, false, &p.kept) })
+	both.Go(func() { p.pipe(one, caller, target, true, &p.held) })
+	both.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.pairs, one)
 }
 
-// pipe copies from one side to the other, as the trouble of each moment has it.
-func (p *Proxy) pipe(one *pair, to, from net.Conn, answers bool) {
+// pipe copies from one side to the other, as the trouble of each moment has it,
+// until one of them ends. It is counted among those that are open.
+func (p *Proxy) pipe(one *pair, to, from net.Conn, answers bool, open *atomic.Int64) {
+	open.Add(1)
 	defer func() {
+		open.Add(-1)
 		reset(from)
 		if !one.silenced.Load() {
 			reset(to)
--- a/internal/stand/proxy/proxy_test.go
+++ b/internal/stand/proxy/proxy_test.go
@@ -69,6 +69,7 @@
 	fresh := dial(t, p)
 	require.NoError(t, exchange(t, fresh))
 	require.NoError(t, old[0].Close())
+	require.Eventually(t, func() bool { return p.Kept() == 2 }, 5*time.Second, time.Millisecond)
 	time.Sleep(100 * time.Millisecond)
 	require.Equal(t, 3, p.Held())
 	require.Equal(t, 3, p.Accepted())
