--- a/internal/coordination/holder/holder_test.go
+++ b/internal/coordination/holder/holder_test.go
@@ -29,6 +29,8 @@
 	cut  bool
 	lose bool
 	slow time.Duration
+	// silent is how many calls get no answer in their time, and have no effect.
+	silent int
 }
 
 func (t *table) set(change func(*table)) {
@@ -43,11 +45,32 @@
 	return t.cut, t.lose, t.slow
 }
 
+// silenced reports whether a call gets no answer.
+func (t *table) silenced() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.silent == 0 {
+		return false
+	}
+	t.silent--
+	return true
+}
+
+func (t *table) silentLeft() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.silent
+}
+
 func (t *table) Commit(ctx context.Context, transaction cottonlanding.Transaction) (cottonlanding.Receipt, error) {
 	cut, lose, slow := t.faults()
 	if cut {
 		return cottonlanding.Receipt{}, cottonlanding.ErrUnavailable
 	}
+	if t.silenced() {
+		<-ctx.Done()
+		return cottonlanding.Receipt{}, cottonlanding.ErrAmbiguous
+	}
 	time.Sleep(slow)
 	receipt, err := t.Table.Commit(ctx, transaction)
 	if lose {
@@ -60,6 +83,10 @@
 	if cut, _, _ := t.faults(); cut {
 		return nil, cottonlanding.ErrUnavailable
 	}
+	if t.silenced() {
+		<-ctx.Done()
+		return nil, cottonlanding.ErrUnavailable
+	}
 	return t.Table.Read(ctx, keys...)
 }
 
@@ -67,6 +94,10 @@
 	if cut, _, _ := t.faults(); cut {
 		return nil, cottonlanding.ErrUnavailable
 	}
+	if t.silenced() {
+		<-ctx.Done()
+		return nil, cottonlanding.ErrUnavailable
+	}
 	return t.Table.Scan(ctx, prefix, after, limit)
 }
 
@@ -200,6 +231,45 @@
 	})
 }
 
+// TestOneCallWithoutAnswerIsNoSlowTable checks that a call without an answer, as on
+// a connection that went silent, costs its time and no more, and that two show a
+// slow table.
+func TestOneCallWithoutAnswerIsNoSlowTable(t *testing.T) {
+	play(t, func(t *testing.T, clock cottonlanding.Clock, members []member) {
+		old := owners(clock, members)
+		for range 5 {
+			for _, m := range members {
+				m.table.set(func(t *table) { t.silent = 1 })
+			}
+			for range 40 {
+				time.Sleep(50 * time.Millisecond)
+				require.Equal(t, old, owners(clock, members), "the owner is sure of itself all the time")
+				for _, m := range members {
+					require.False(t, m.Slow())
+					require.Less(t, clock.Now()-max(m.View().Read, m.ValidUntil()-timing.TTL), timing.Poll+timing.Timeout+timing.Poll)
+				}
+			}
+		}
+		for _, m := range members {
+			m.table.set(func(t *table) { t.silent = 3 })
+		}
+		time.Sleep(timing.Timeout.Duration() - 10*time.Millisecond)
+		for range 60 { // the first has ended everywhere by Poll + Timeout
+			time.Sleep(10 * time.Millisecond)
+			for _, m := range members {
+				if m.table.silentLeft() == 1 {
+					require.False(t, m.Slow(), "one call without an answer shows nothing")
+				}
+			}
+		}
+		time.Sleep((timing.Poll + timing.Timeout).Duration() - 550*time.Millisecond)
+		for _, m := range members {
+			require.Zero(t, m.table.silentLeft(), "the second call had the time of a slow table")
+			require.True(t, m.Slow(), "two calls without an answer show a slow table")
+		}
+	})
+}
+
 // TestReleaseIsTriedAgain checks that an owner that leaves while the table is out
 // hands over as soon as it is back.
 func TestReleaseIsTriedAgain(t *testing.T) {
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -21,6 +21,16 @@
 // maxMessage is the largest message between daemons, in bytes.
 const maxMessage = 16 << 20
 
+// Connections may go silent without an end.
+const (
+	// idleTimeout closes connections on which no call was made for so long.
+	idleTimeout = 10 * time.Second
+	// keepAliveTime is how long a caller may say nothing before it is asked for a
+	// sign of life, keepAliveTimeout how long it may take for one.
+	keepAliveTime    = 5 * time.Second
+	keepAliveTimeout = 2 * time.Second
+)
+
 // Messenger listens for peers and keeps a connection to each.
 type Messenger struct {
 	server *grpc.Server
--- a/internal/web/caller/caller.go
+++ b/internal/web/caller/caller.go
@@ -37,8 +37,9 @@
 // Caller keeps connections to many hosts and uses each for one request at a
 // time. It never sends a request twice.
 type Caller struct {
-	engine *nbhttp.Engine
-	dialer net.Dialer
+	engine      *nbhttp.Engine
+	dialer      net.Dialer
+	idleTimeout time.Duration
 
 	mu     sync.Mutex
 	idle   map[string][]idleConnection
@@ -59,7 +60,7 @@
 	if err := engine.Start(); err != nil {
 		return nil, fmt.Errorf("start the client engine: %w", err)
 	}
-	c := &Caller{engine: engine, idle: make(map[string][]idleConnection)}
+	c := &Caller{engine: engine, idleTimeout: idleTimeout, idle: make(map[string][]idleConnection)}
 	c.dialer.Timeout = dialTimeout
 	if local != "" {
 		ip := net.ParseIP(local)
@@ -180,7 +181,7 @@
 	for len(kept) > 0 {
 		last := kept[len(kept)-1]
 		kept = kept[:len(kept)-1]
-		if time.Since(last.since) < idleTimeout {
+		if time.Since(last.since) < c.idleTimeout {
 			c.idle[host] = kept
 			c.mu.Unlock()
 			return last.connection, false
--- a/internal/web/listener/listener.go
+++ b/internal/web/listener/listener.go
@@ -34,6 +34,11 @@
 
 // New starts to serve handler on the addresses. It fails if one is in use.
 func New(handler http.Handler, addresses ...cottonlanding.Address) (*Listener, error) {
+	return serve(handler, idleTimeout, addresses)
+}
+
+// serve is New with the time after which a connection without a request is closed.
+func serve(handler http.Handler, idle time.Duration, addresses []cottonlanding.Address) (*Listener, error) {
 	logging.SetLevel(logging.LevelNone)
 	opened, err := open(addresses)
 	if err != nil {
@@ -45,7 +50,7 @@
 		Listen:                 func(_, address string) (net.Listener, error) { return opened[address], nil },
 		MaxLoad:                maxConnections,
 		MaxHTTPBodySize:        MaxBody,
-		KeepaliveTime:          idleTimeout,
+		KeepaliveTime:          idle,
 		MessageHandlerPoolSize: handlerLimit,
 		BodyAllocator:          allocator.Get(),
 		Handler:                handler,
--- a/internal/web/listener/listener_test.go
+++ b/internal/web/listener/listener_test.go
@@ -42,9 +42,12 @@
 // kernel orders the library's accept before its first read.
 const echoVariable = "LISTENER_TEST_ECHO"
 
+// echoIdle is how long that server keeps connections without a request.
+const echoIdle = time.Second
+
 func TestMain(m *testing.M) {
 	if address := os.Getenv(echoVariable); address != "" {
-		if _, err := listener.New(http.HandlerFunc(slowEcho), cottonlanding.Address(address)); err != nil {
+		if _, err := listener.NewIdle(http.HandlerFunc(slowEcho), echoIdle, cottonlanding.Address(address)); err != nil {
 			os.Exit(1)
 		}
 		select {} // until it is killed
--- a/internal/workflow/gateway/gateway_test.go
+++ b/internal/workflow/gateway/gateway_test.go
@@ -17,6 +17,7 @@
 	"github.com/cottonlanding/cottonlanding/internal/coordination/holder"
 	"github.com/cottonlanding/cottonlanding/internal/platform/keeper"
 	"github.com/cottonlanding/cottonlanding/internal/policy/placer"
+	"github.com/cottonlanding/cottonlanding/internal/stand/proxy"
 	"github.com/cottonlanding/cottonlanding/internal/stand/runner"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/gateway"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
@@ -30,6 +31,8 @@
 	runner  *runner.Runner
 	workers []cottonlanding.WorkerInfo
 	hosts   []*gateway.Gateway
+	// paths stand between each host and the others that call it.
+	paths []*proxy.Proxy
 }
 
 // switchedTable can be switched off.
@@ -38,12 +41,17 @@
 	off atomic.Bool
 	// perRow is how long each row of a scan takes, as on a slow link.
 	perRow atomic.Int64
+	// commitTakes is how long a commit of many rows takes.
+	commitTakes atomic.Int64
 }
 
 func (t *switchedTable) Commit(ctx context.Context, transaction cottonlanding.Transaction) (cottonlanding.Receipt, error) {
 	if t.off.Load() {
 		return cottonlanding.Receipt{}, cottonlanding.ErrUnavailable
 	}
+	if len(transaction.Writes) > 1 { // a beat is one
+		time.Sleep(time.Duration(t.commitTakes.Load()))
+	}
 	return t.Table.Commit(ctx, transaction)
 }
 
@@ -101,12 +109,16 @@
 	require.NoError(d.t, err)
 	address := cottonlanding.Address(probe.Addr().String())
 	require.NoError(d.t, probe.Close())
+	path, err := proxy.New(address)
+	require.NoError(d.t, err)
+	d.t.Cleanup(path.Close)
+	d.paths = append(d.paths, path)
 	placement, _ := placer.Get(placer.Fallback)
 	queues := cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{
 		"Q": {Name: "Q", Service: "S", Attempts: 3, Stretch: 2, LatencyTarget: 1000},
 	}}
 	host, err := gateway.New(gateway.Settings{
-		Self:        holder.Member{ID: cottonlanding.SessionID(fmt.Sprintf("h%d", number)), Address: address, Share: share},
+		Self:        holder.Member{ID: cottonlanding.SessionID(fmt.Sprintf("h%d", number)), Address: path.Address(), Share: share},
 		PeerAddress: address,
 		Holder:      holder.Timing{TTL: 600, SlowTTL: 2000, SlowCall: 150, Poll: 100, Timeout: 500, SlowTimeout: 1000, Handicap: 300, SlowHandicap: 300},
 		Planner:     planner.Timing{Lease: 3000, CutOffGrace: 1000, StopTimeout: 300, Retention: cottonlanding.Minute},
