A silence costs one time-out for each address, not one for each connection

Cause: the caller keeps up to 64 idle connections to an address, last in first out. Connections to addresses that are never called again were not closed at all. Change: a call on a kept connection that gets no answer in its time makes all idle connections suspect that were opened before it was sent; they are closed. One that was opened later, or is in use, is left alone, and so are all when a caller gives up by itself. Idle connections are swept every quarter of their time. What timed out is ErrAmbiguous as before, and nothing is sent again. Ruled out: a probe on a connection before its use, which costs a call each time and can be silent itself; closing also those opened later, which costs a second new connection where a look and an order wait at the same time.

--- a/internal/web/caller/caller.go
+++ b/internal/web/caller/caller.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,6 +26,8 @@
 	idleTimeout = 20 * time.Second
 	// idlePerHost bounds the connections kept for one host.
 	idlePerHost = 64
+	// sweepsPerTimeout is how often idle connections are looked at in idleTimeout.
+	sweepsPerTimeout = 4
 )
 
 // Response is a whole answer.
@@ -42,14 +45,16 @@
 	idleTimeout time.Duration
 
 	mu     sync.Mutex
-	idle   map[string][]idleConnection
+	idle   map[string][]*keptConnection
+	swept  time.Time
 	closed bool
 }
 
-// idleConnection is a kept connection and when it was last used.
-type idleConnection struct {
-	connection *nbhttp.ClientConn
-	since      time.Time
+// keptConnection is a connection, when it was opened and when it was last used.
+type keptConnection struct {
+	*nbhttp.ClientConn
+	opened time.Time
+	since  time.Time
 }
 
 // New returns a caller whose connections come from the IP address local, or
@@ -60,7 +65,7 @@
 	if err := engine.Start(); err != nil {
 		return nil, fmt.Errorf("start the client engine: %w", err)
 	}
-	c := &Caller{engine: engine, idleTimeout: idleTimeout, idle: make(map[string][]idleConnection)}
+	c := &Caller{engine: engine, idleTimeout: idleTimeout, idle: make(map[string][]*keptConnection), swept: time.Now()}
 	c.dialer.Timeout = dialTimeout
 	if local != "" {
 		ip := net.ParseIP(local)
@@ -97,7 +102,7 @@
 
 // once sends the request on one connection.
 func (c *Caller) once(ctx context.Context, request *http.Request) (Response, error) {
-	host := request.URL.Host
+	host, sent := request.URL.Host, time.Now()
 	connection, fresh := c.take(host)
 	done := make(chan result, 1)
 	send := func() {
@@ -123,6 +128,9 @@
 		return r.response, nil
 	case <-ctx.Done():
 		go connection.Close()
+		if !fresh && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.suspect(host, sent)
+		}
 		return Response{}, fmt.Errorf("%w: %s gave no answer: %w", cottonlanding.ErrAmbiguous, host, ctx.Err())
 	}
 }
@@ -175,46 +183,78 @@
 }
 
 // take returns a kept connection, or a fresh one that is not yet made.
-func (c *Caller) take(host string) (connection *nbhttp.ClientConn, fresh bool) {
+func (c *Caller) take(host string) (connection *keptConnection, fresh bool) {
 	c.mu.Lock()
-	kept := c.idle[host]
-	for len(kept) > 0 {
+	defer c.mu.Unlock()
+	c.sweep()
+	if kept := c.idle[host]; len(kept) > 0 {
 		last := kept[len(kept)-1]
-		kept = kept[:len(kept)-1]
+		c.idle[host] = kept[:len(kept)-1]
 		if time.Since(last.since) < c.idleTimeout {
-			c.idle[host] = kept
-			c.mu.Unlock()
-			return last.connection, false
+			return last, false
 		}
-		go last.connection.Close()
+		go last.Close() // the others are older; the next sweep finds them
 	}
-	c.idle[host] = kept
-	c.mu.Unlock()
-	connection = &nbhttp.ClientConn{Engine: c.engine, Dial: c.dial}
+	connection = &keptConnection{ClientConn: &nbhttp.ClientConn{Engine: c.engine, Dial: c.dial}, opened: time.Now()}
 	connection.OnClose(func() { c.drop(host, connection) })
 	return connection, true
 }
 
-func (c *Caller) give(host string, connection *nbhttp.ClientConn) {
+func (c *Caller) give(host string, connection *keptConnection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed || len(c.idle[host]) >= idlePerHost {
 		go connection.Close() // takes the connection's lock, under which drop takes ours
 		return
 	}
-	c.idle[host] = append(c.idle[host], idleConnection{connection: connection, since: time.Now()})
+	connection.since = time.Now()
+	c.idle[host] = append(c.idle[host], connection)
 }
 
-// drop forgets an idle connection that the other side closed.
-func (c *Caller) drop(host string, connection *nbhttp.ClientConn) {
+// suspect closes the idle connections to a host that were opened before a call was
+// sent on another one, and got no answer: what made that one silent has struck them
+// too, and each would cost a call its time.
+func (c *Caller) suspect(host string, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	kept := c.idle[host]
-	for i, other := range kept {
-		if other.connection == connection {
-			c.idle[host] = append(kept[:i], kept[i+1:]...)
-			return
+	c.closeIdle(host, func(one *keptConnection) bool { return one.opened.Before(sent) })
+}
+
+// sweep closes what was idle for too long, also to hosts that are never called
+// again: their end may never arrive. The caller holds the lock.
+func (c *Caller) sweep() {
+	if time.Since(c.swept) < c.idleTimeout/sweepsPerTimeout {
+		return
+	}
+	c.swept = time.Now()
+	for host := range c.idle {
+		c.closeIdle(host, func(one *keptConnection) bool { return time.Since(one.since) >= c.idleTimeout })
+	}
+}
+
+// closeIdle closes some of the idle connections to a host. The caller holds the lock.
+func (c *Caller) closeIdle(host string, closes func(*keptConnection) bool) {
+	var kept []*keptConnection
+	for _, one := range c.idle[host] {
+		if closes(one) {
+			go one.Close()
+			continue
 		}
+		kept = append(kept, one)
+	}
+	if len(kept) == 0 {
+		delete(c.idle, host)
+		return
+	}
+	c.idle[host] = kept
+}
+
+// drop forgets an idle connection that the other side closed.
+func (c *Caller) drop(host string, connection *keptConnection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if at := slices.Index(c.idle[host], connection); at >= 0 {
+		c.idle[host] = slices.Delete(c.idle[host], at, at+1)
 	}
 }
 
@@ -224,12 +264,12 @@
 func (c *Caller) Close() {
 	c.mu.Lock()
 	idle := c.idle
-	c.idle = make(map[string][]idleConnection)
+	c.idle = make(map[string][]*keptConnection)
 	c.closed = true
 	c.mu.Unlock()
 	for _, kept := range idle {
 		for _, one := range kept {
-			one.connection.Close()
+			one.Close()
 		}
 	}
 }
