One call without an answer is no slow table

Cause: the holder took the time of its last call for the table's, answered or not. Change: the first call that fails says nothing of how slow the table is; a second one in a row does, as does any answer. The look back after a beat without an answer counts as well: it goes over a new connection and tells the two apart. Ruled out: an error of its own for kept connections. Nearly every call goes over one, so that it would say the same, and adapters would have to know it. TestOneCallWithoutAnswerIsNoSlowTable was red, and is green.

--- a/internal/coordination/holder/holder.go
+++ b/internal/coordination/holder/holder.go
@@ -51,7 +51,7 @@
 	view       View
 	validUntil cottonlanding.Millis
 	leaving    bool
-	// lastCall is how long the last call of the table took, answered or not.
+	// lastCall is how long the last call of the table took that says how slow it is.
 	lastCall  cottonlanding.Millis
 	connected bool
 
@@ -134,10 +134,24 @@
 	return h.timing.Timeout
 }
 
-func (h *Holder) noteCall(sent cottonlanding.Millis) {
+// noteCall takes in what became of a call of the table. The first one that fails
+// says nothing of how slow the table is: its connection may have gone silent, and
+// the next call shows whether it was only that.
+func (h *Holder) noteCall(sent cottonlanding.Millis, err error) {
+	connected := err == nil || errors.Is(err, cottonlanding.ErrConflict)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lastCall = h.clock.Now() - sent
+	if connected || !h.connected {
+		h.lastCall = h.clock.Now() - sent
+	}
+	switch {
+	case connected == h.connected:
+	case connected:
+		h.log.Info("table regained")
+	default:
+		h.log.Warn("table lost", "Error", err)
+	}
+	h.connected = connected
 }
 
 // Nudge makes the holder read at once.
@@ -189,8 +203,7 @@
 	h.mu.Unlock()
 	id := newTransaction()
 	version, err := h.write(ctx, id, cottonlanding.Write{Key: h.partition.Key(beatRow), Expect: h.beat, Value: encode(Beat{h.self, ttl})})
-	h.noteConnection(err)
-	h.noteCall(sent)
+	h.noteCall(sent, err)
 	if errors.Is(err, cottonlanding.ErrAmbiguous) {
 		version, err = h.lookBack(ctx, id)
 	}
@@ -211,7 +224,9 @@
 func (h *Holder) lookBack(ctx context.Context, id cottonlanding.TransactionID) (cottonlanding.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, h.timeout().Duration())
 	defer cancel()
+	sent := h.clock.Now()
 	rows, err := h.table.Read(ctx, h.partition.Key(beatRow))
+	h.noteCall(sent, err)
 	if err != nil {
 		return 0, err
 	}
@@ -231,8 +246,7 @@
 	defer cancel()
 	sent := h.clock.Now()
 	rows, err := h.table.Scan(callCtx, h.partition.Key(rowPrefix), "", scanLimit)
-	h.noteConnection(err)
-	h.noteCall(sent)
+	h.noteCall(sent, err)
 	if err != nil {
 		return
 	}
@@ -310,20 +324,6 @@
 	return receipt.Version, err
 }
 
-func (h *Holder) noteConnection(err error) {
-	connected := err == nil || errors.Is(err, cottonlanding.ErrConflict)
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	switch {
-	case connected == h.connected:
-	case connected:
-		h.log.Info("table regained")
-	default:
-		h.log.Warn("table lost", "Error", err)
-	}
-	h.connected = connected
-}
-
 func encode(value any) []byte {
 	data, err := json.Marshal(value)
 	if err != nil {
