Connections between hosts have an idle time-out and a keep-alive

Cause: the library's defaults keep a connection without a call for half an hour at the caller, and for hours at the host that is called, also when it is silent. Change: a caller closes a connection on which no call was made for 10 s; the host that is called asks a silent caller for a sign of life after 5 s, and ends the connection 2 s later. While calls are made, their own time shows a silence. Ruled out: keep-alive probes of callers, which the library takes every 10 s at most, and which hosts of older versions answer by ending the connection.

--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -21,7 +22,7 @@
 // maxMessage is the largest message between daemons, in bytes.
 const maxMessage = 16 << 20
 
-// Connections may go silent without an end.
+// Connections may go silent without an end. A caller finds out by its call's time.
 const (
 	// idleTimeout closes connections on which no call was made for so long.
 	idleTimeout = 10 * time.Second
@@ -56,7 +57,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer address: %w", err)
 	}
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage))
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAliveTime, Timeout: keepAliveTimeout}))
 	register(server)
 	go func() { _ = server.Serve(listener) }() // ends with Close
 	return &Messenger{server: server, local: host, peers: make(map[cottonlanding.Address]*grpc.ClientConn)}, nil
@@ -90,6 +92,7 @@
 	connection, err := grpc.NewClient("passthrough:///"+string(address),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(m.dial),
+		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: firstReconnect, Multiplier: reconnectFactor, Jitter: reconnectJitter, MaxDelay: longestReconnect},
 			MinConnectTimeout: connectTimeout,
