Calls to the owner don't queue up on a connection that may be silent

Cause: after the connections between hosts went silent, all calls went on to be sent on the silent one until the first had timed out, 1.2 s later. Each of them ends unclear (504), which clients of unsafe requests pay for. Change: once a call has waited for 400 ms in which the owner answered no other either, later calls use a new connection; the one that waits goes on to wait, and nothing is sent again. Not while the table is slow, when answers are too. Ruled out: a shorter time for calls, which would end unclear what the owner is about to answer; a second copy of the call, which must not be sent.

--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -56,6 +57,8 @@
 	// cutOffUntil is until when calls are refused because neither the table nor the
 	// owner could be reached, in milliseconds of the clock.
 	cutOffUntil atomic.Int64
+	// answeredAt is when an owner last answered a call, on the same clock.
+	answeredAt atomic.Int64
 
 	mu     sync.Mutex
 	driver *driver.Driver
@@ -174,6 +177,10 @@
 	// cutOffPause is how long a host that can reach neither the table nor the owner
 	// refuses calls before it tries the owner again.
 	cutOffPause = cottonlanding.Second
+	// doubtAfter is how long an owner may say nothing at all while a call waits for it;
+	// then the next calls go over a new connection. It is several times what a commit
+	// takes, and a third of what a client's call may.
+	doubtAfter = 400 * cottonlanding.Millis(1)
 )
 
 // Cancel cancels a workflow. The errors are as for Submit.
@@ -250,7 +257,9 @@
 	if err != nil {
 		return nil, err
 	}
+	doubt := g.doubt(owner.Address, connection)
 	reply, err := call(ctx, wire.NewWorkflowsClient(connection))
+	doubt.Stop()
 	if err != nil {
 		g.messenger.Drop(owner.Address, connection)
 		if !g.holder.Reading() {
@@ -259,9 +268,22 @@
 		g.holder.Nudge()
 		return nil, fmt.Errorf("owner %s, epoch %d: %w", owner.ID, owner.Epoch, messenger.Error(err))
 	}
+	g.answeredAt.Store(int64(g.deps.Clock.Now()))
 	return reply, messenger.ErrorOf(reply.GetCode(), reply.GetDetail())
 }
 
+// doubt lets later calls use a new connection once a call has waited for a while in
+// which the owner answered no other either: the connection may have gone silent. The
+// call itself goes on to wait on the old one.
+func (g *Gateway) doubt(owner cottonlanding.Address, connection *grpc.ClientConn) *time.Timer {
+	sent := g.deps.Clock.Now()
+	return time.AfterFunc(doubtAfter.Duration(), func() {
+		if cottonlanding.Millis(g.answeredAt.Load()) <= sent && !g.holder.Slow() {
+			g.messenger.Drop(owner, connection)
+		}
+	})
+}
+
 // Leave gives up what this host owns and keeps it from owning again. Calls go on
 // to be answered by the next owner until Close.
 func (g *Gateway) Leave(ctx context.Context) {
