--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -105,8 +105,9 @@
 	return connection, nil
 }
 
-// lingering is how long a dropped connection stays open for the calls that wait on it.
-const lingering = 2 * time.Second
+// lingering is how long a dropped connection stays open for the calls that wait on
+// it: longer than the longest of them.
+const lingering = 3 * time.Second
 
 // Drop makes the next call to a peer use a new connection, after one call got no
 // answer: a connection that was cut may stay silent for ever. Calls that wait on
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -179,8 +179,10 @@
 	cutOffPause = cottonlanding.Second
 	// doubtAfter is how long an owner may say nothing at all while a call waits for it;
 	// then the next calls go over a new connection. It is several times what a commit
-	// takes, and a third of what a client's call may.
-	doubtAfter = 400 * cottonlanding.Millis(1)
+	// takes, and a third of what a client's call may. slowDoubtAfter is the same while
+	// the table is slow, when both take longer.
+	doubtAfter     = 400 * cottonlanding.Millis(1)
+	slowDoubtAfter = 800 * cottonlanding.Millis(1)
 )
 
 // Cancel cancels a workflow. The errors are as for Submit.
@@ -276,9 +278,12 @@
 // which the owner answered no other either: the connection may have gone silent. The
 // call itself goes on to wait on the old one.
 func (g *Gateway) doubt(owner cottonlanding.Address, connection *grpc.ClientConn) *time.Timer {
-	sent := g.deps.Clock.Now()
-	return time.AfterFunc(doubtAfter.Duration(), func() {
-		if cottonlanding.Millis(g.answeredAt.Load()) <= sent && !g.holder.Slow() {
+	sent, after := g.deps.Clock.Now(), doubtAfter
+	if g.holder.Slow() {
+		after = slowDoubtAfter
+	}
+	return time.AfterFunc(after.Duration(), func() {
+		if cottonlanding.Millis(g.answeredAt.Load()) <= sent {
 			g.messenger.Drop(owner, connection)
 		}
 	})
