--- a/internal/coordination/holder/holder.go
+++ b/internal/coordination/holder/holder.go
@@ -127,8 +127,11 @@
 	return h.timing.TTL
 }
 
+// timeout bounds the next call. The one after a call that failed has the time of a
+// slow table: it goes over a new connection, so that it costs no more than needed,
+// and tells a slow table from a connection that went silent.
 func (h *Holder) timeout() cottonlanding.Millis {
-	if h.Slow() {
+	if h.Slow() || !h.Reading() {
 		return max(h.timing.SlowTimeout, h.timing.Timeout)
 	}
 	return h.timing.Timeout
