--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -21,6 +22,16 @@
 // maxMessage is the largest message between daemons, in bytes.
 const maxMessage = 16 << 20
 
+// Connections may go silent without an end. A caller finds out by its call's time.
+const (
+	// idleTimeout closes connections on which no call was made for so long.
+	idleTimeout = 10 * time.Second
+	// keepAliveTime is how long a caller may say nothing before it is asked for a
+	// sign of life, keepAliveTimeout how long it may take for one.
+	keepAliveTime    = 5 * time.Second
+	keepAliveTimeout = 2 * time.Second
+)
+
 // Messenger listens for peers and keeps a connection to each.
 type Messenger struct {
 	server *grpc.Server
@@ -46,7 +57,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("peer address: %w", err)
 	}
-	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage))
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepAliveTime, Timeout: keepAliveTimeout}))
 	register(server)
 	go func() { _ = server.Serve(listener) }() // ends with Close
 	return &Messenger{server: server, local: host, peers: make(map[cottonlanding.Address]*grpc.ClientConn)}, nil
@@ -80,6 +92,7 @@
 	connection, err := grpc.NewClient("passthrough:///"+string(address),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(m.dial),
+		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: firstReconnect, Multiplier: reconnectFactor, Jitter: reconnectJitter, MaxDelay: longestReconnect},
 			MinConnectTimeout: connectTimeout,
@@ -92,8 +105,9 @@
 	return connection, nil
 }
 
-// lingering is how long a dropped connection stays open for the calls that wait on it.
-const lingering = 2 * time.Second
+// lingering is how long a dropped connection stays open for the calls that wait on
+// it: longer than the longest of them.
+const lingering = 3 * time.Second
 
 // Drop makes the next call to a peer use a new connection, after one call got no
 // answer: a connection that was cut may stay silent for ever. Calls that wait on
