LeaseTTL leaves half of itself for a take-over: the bound counts polls and calls

A successor needs 1.1 times SessionTTL, up to two polls, some seven calls of the table and two of a worker. The bound of 2.5 times SessionTTL left nothing for polls and calls in the worst case: 2 s for 1.65 + 0.4 s in the scenarios, 4 s for 3.3 + 1 s by default.

Ruled out: renewing twice as often, which would leave three quarters, for twice the bytes of standing renewals, the steepest slope of CAPACITY.

No expectation of a scenario changed.

--- a/internal/settings/loader/settings.go
+++ b/internal/settings/loader/settings.go
@@ -51,20 +51,29 @@
 	defaultSeats         = 3
 	defaultCells         = 1
 	defaultSessionTTL    = 3 * cottonlanding.Second
-	defaultLeaseTTL      = 8 * cottonlanding.Second
+	defaultLeaseTTL      = 12 * cottonlanding.Second
 	defaultCutOffGrace   = 15 * cottonlanding.Minute
 	defaultPoll          = 500 * cottonlanding.Millis(1)
 	defaultCommitSpacing = 100 * cottonlanding.Millis(1)
 	defaultJobRetention  = 24 * 60 * cottonlanding.Minute
-	// leasePerSession is the least ratio of LeaseTTL to SessionTTL, in halves: a
-	// lease is renewed each quarter, and a successor needs the session's time, two
-	// polls and two rounds before its own first renewal.
-	leasePerSession    = 5
+	// takeOverCalls is what a successor is given, beside the session's time and two
+	// polls, for its calls from the first read that shows the end to its first
+	// renewals: seven of the table and two of a worker, one after the other.
+	takeOverCalls      = cottonlanding.Second
 	shortestSessionTTL = 500 * cottonlanding.Millis(1)
 	mostSeats          = 64
 	mostCells          = 64
 )
 
+// LeastLeaseTTL returns the shortest LeaseTTL with which a successor renews before
+// leases lapse. A lease runs from the reading of the renewal before the last, and is
+// renewed each quarter, so that an owner that dies may leave only half of it. The
+// successor sees the end a poll after the session's time, which it has lengthened by
+// a tenth and has begun to count up to a poll late.
+func (t *Timing) LeastLeaseTTL() cottonlanding.Millis {
+	return 2 * (t.SessionTTL + t.SessionTTL/10 + 2*t.Poll + takeOverCalls)
+}
+
 // LoadSettings reads the settings of a process from a file.
 func LoadSettings(file string) (Settings, error) {
 	data, err := os.ReadFile(file)
@@ -131,9 +140,9 @@
 	if s.Timing.SessionTTL < shortestSessionTTL {
 		document.Fault("Timing.SessionTTL", "%s is too short: at least %s", s.Timing.SessionTTL, shortestSessionTTL)
 	}
-	if least := s.Timing.SessionTTL * leasePerSession / 2; s.Timing.LeaseTTL < least {
-		document.Fault("Timing.LeaseTTL", "%s is too short for a SessionTTL of %s: at least %s, so that a new owner can renew before leases lapse",
-			s.Timing.LeaseTTL, s.Timing.SessionTTL, least)
+	if least := s.Timing.LeastLeaseTTL(); s.Timing.LeaseTTL < least {
+		document.Fault("Timing.LeaseTTL", "%s is too short for a SessionTTL of %s and a Poll of %s: at least %s, so that a new owner can renew before leases lapse",
+			s.Timing.LeaseTTL, s.Timing.SessionTTL, s.Timing.Poll, least)
 	}
 	if s.Timing.Poll*2 > s.Timing.SessionTTL {
 		document.Fault("Timing.Poll", "%s is too long: at most half of SessionTTL, %s", s.Timing.Poll, s.Timing.SessionTTL/2)
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -174,7 +174,7 @@
 Seats: %s
 Timing:
   SessionTTL: 1500ms
-  LeaseTTL: 4s
+  LeaseTTL: 6500ms
   CutOffGrace: %s
   Poll: 200ms
 `
