Nobody waits for a killed owner that is back at once: sessions that start count last

Cause: a cell falls to the live session with the highest hash, also to one that has just begun. Such a one first sees the dead owner's row when it begins and counts a whole session's time from there, while those that were there have counted already and defer to it. A killed owner that is back at once has one chance in as many as there are hosts to be preferred.

Ruled out: load as such: the deferring shows without any, in virtual time.

Change: a session says Starting until it has counted a session's time and has rules and hosts. Starting sessions are candidates only if there are no others. An owner keeps a cell for half of LeaseTTL, and while it is starting itself, before it gives it to a preferred one, so that a take-over and a hand-over don't eat the same leases. Sessions of earlier versions count as settled.

--- a/internal/coordination/observer/observer.go
+++ b/internal/coordination/observer/observer.go
@@ -49,6 +49,9 @@
 type View struct {
 	// Read is the instant of the answer; zero before the first.
 	Read cottonlanding.Millis
+	// Watched tells that the observer has counted a session's time since its first
+	// read, so that it has seen the end of any that ended before.
+	Watched bool
 	// Live holds the sessions that have not ended.
 	Live []registrar.Session
 	// Ended tells when sessions were found to have ended.
@@ -167,7 +170,7 @@
 	if err != nil {
 		return View{}, err
 	}
-	return View{Read: now, Live: o.roster.Live(), Ended: o.roster.Ended(), Cells: cells}, nil
+	return View{Read: now, Watched: o.roster.Watched(), Live: o.roster.Live(), Ended: o.roster.Ended(), Cells: cells}, nil
 }
 
 func decodeOwners(rows []cottonlanding.Row) (map[cottonlanding.CellID]OwnerRow, error) {
--- a/internal/coordination/observer/roster.go
+++ b/internal/coordination/observer/roster.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// Watched reports whether a session's time was counted since the first read.
+func (r *Roster) Watched() bool { return r.observed >= r.ttl }
+
 // Live returns the sessions that have not ended, in order of id.
 func (r *Roster) Live() []registrar.Session {
 	var out []registrar.Session
--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -33,6 +33,9 @@
 	// Seat numbers the holder's share of the executors' slots in its data
 	// centre, from 1. Zero is none.
 	Seat int
+	// Starting tells that the holder can't take over yet: it has not watched for as
+	// long as it takes to see that another session has ended, or lacks what it needs.
+	Starting bool `json:",omitempty"`
 	// Leaving tells that the holder hands over and will end.
 	Leaving bool
 	// Beat changes with each renewal.
@@ -131,6 +134,13 @@
 	r.change(func(s *Session) { s.Seat = seat })
 }
 
+// Settle tells observers that this holder can take over, once.
+func (r *Registrar) Settle() {
+	if r.Session().Starting {
+		r.change(func(s *Session) { s.Starting = false })
+	}
+}
+
 // Leave tells observers to give this holder nothing more.
 func (r *Registrar) Leave() {
 	r.change(func(s *Session) { s.Leaving = true })
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -177,6 +177,7 @@
 		DataCentre:  r.settings.DataCentre,
 		HTTPAddress: r.settings.HTTPAddress,
 		PeerAddress: r.settings.PeerAddress,
+		Starting:    true,
 	}, timing.SessionTTL)
 	session := r.registrar.Session().ID
 	lane := func(name string) cottonlanding.Key {
--- a/internal/placement/owner/events.go
+++ b/internal/placement/owner/events.go
@@ -12,6 +12,9 @@
 
 func (e viewEvent) apply(o *Owner, _ cottonlanding.Millis) {
 	o.view = e.view
+	if e.view.Watched && o.hasRules && o.hasHosts {
+		o.deps.Registrar.Settle()
+	}
 	for id, owned := range o.cells {
 		row := e.view.Cells[id]
 		if row.Version > owned.row.Version && row.Epoch > owned.row.Epoch {
--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -33,6 +33,10 @@
 	scanLimit     = 1000
 	// seizePause is the least time between two tries to seize a cell.
 	seizePause = 500 * cottonlanding.Millis(1)
+	// keepsPerLease is the share of LeaseTTL for which a new owner keeps its cell:
+	// two renewals, after which all leases are as long as they get. Each change of
+	// owner uses them up by a little.
+	keepsPerLease = 2
 )
 
 // Dependencies are what an owner works with.
@@ -83,6 +87,8 @@
 type ownedCell struct {
 	cell *scheduler.Cell
 	row  observer.OwnerRow
+	// since is when the cell was taken.
+	since cottonlanding.Millis
 	// releasing says that nothing new is decided; releaseSent that the row was
 	// given up.
 	releasing   bool
--- a/internal/placement/owner/ownership.go
+++ b/internal/placement/owner/ownership.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,6 +12,7 @@
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/committer"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/observer"
+	"github.com/cottonlanding/cottonlanding/internal/coordination/registrar"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/seizer"
 	"github.com/cottonlanding/cottonlanding/internal/placement/scheduler"
 )
@@ -37,14 +39,11 @@
 }
 
 // preferred returns the session that should own a cell: the one with the highest
-// hash of cell and session among those that are alive and staying.
+// hash of cell and session among the candidates.
 func (o *Owner) preferred(cell cottonlanding.CellID) cottonlanding.SessionID {
 	var best cottonlanding.SessionID
 	var highest uint64
-	for _, session := range o.view.Live {
-		if session.DataCentre != o.dataCentre || session.Leaving {
-			continue
-		}
+	for _, session := range o.candidates() {
 		rank := xxhash.Sum64String(string(cell) + "|" + string(session.ID))
 		if best == "" || rank > highest {
 			best, highest = session.ID, rank
@@ -53,6 +52,35 @@
 	return best
 }
 
+// candidates returns the sessions that are alive and staying. Those that are
+// starting count only if there are no others: one that came after an owner died
+// sees its end later than those that were there, and all would wait for it.
+func (o *Owner) candidates() []registrar.Session {
+	var settled, starting []registrar.Session
+	for _, session := range o.view.Live {
+		switch {
+		case session.DataCentre != o.dataCentre || session.Leaving:
+		case session.Starting:
+			starting = append(starting, session)
+		default:
+			settled = append(settled, session)
+		}
+	}
+	if len(settled) == 0 {
+		return starting
+	}
+	return settled
+}
+
+// handsOver reports whether a cell should be given to the preferred session.
+func (o *Owner) handsOver(owned *ownedCell, preferred cottonlanding.SessionID, now cottonlanding.Millis) bool {
+	self := o.deps.Registrar.Session().ID
+	if preferred == "" || preferred == self || now-owned.since < o.timing.LeaseTTL/keepsPerLease {
+		return false
+	}
+	return !slices.ContainsFunc(o.view.Live, func(s registrar.Session) bool { return s.ID == self && s.Starting })
+}
+
 // seizeDue seizes the cells that fall to this daemon, and begins to release
 // those that fall to another.
 func (o *Owner) seizeDue(now cottonlanding.Millis) {
@@ -66,7 +94,7 @@
 		owned := o.cells[id]
 		switch {
 		case owned != nil:
-			owned.releasing = owned.releasing || preferred != "" && preferred != self
+			owned.releasing = owned.releasing || o.handsOver(owned, preferred, now)
 		case preferred == self && o.hasRules && o.hasHosts && o.deps.Registrar.Valid():
 			o.seize(id, now)
 		}
@@ -179,7 +207,7 @@
 		o.deps.Log.Error("could not load cell", "Cell", e.row.Cell, "Error", err)
 		return
 	}
-	o.cells[e.setup.ID] = &ownedCell{cell: cell, row: e.row, releasing: o.draining}
+	o.cells[e.setup.ID] = &ownedCell{cell: cell, row: e.row, since: now, releasing: o.draining}
 	o.takeovers.Add(1)
 	o.deps.Log.Info("took cell", "Cell", e.row.Cell, "Epoch", e.row.Epoch, "HandedOver", e.setup.HandedOver,
 		"Jobs", len(e.rows.jobs), "Tasks", len(e.rows.tasks))
