A cell is seized once at a time, and a row of one's own tells nothing of who owned before

Cause: a try to seize a cell was repeated after 500 ms whether or not the one before had ended. It makes four calls of the table one after the other, so that from 125 ms a call on the second try found the row that the first had written, took it for its own, raised the epoch and threw away the cell that the first had just loaded. The second try also counted as a hand-over, as did any try after a seizing whose answer was lost: the end of the owner before was forgotten, and with it the CutOffGrace for which that one may still renew workers that the new owner doesn't reach. That a task could so be given to another worker too early is read from the code, not shown by a run.

Ruled out: another host that seizes; it is the same one.

Change: no try while one is under way; a row that names the session itself is no hand-over, so that workers that aren't reached are left alone for the grace.

Conclusion: a hand-over by preference within CutOffGrace of a take-over forgets the same bound; suspected, not mended here.

--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -73,9 +73,11 @@
 	hosts    []cottonlanding.WorkerInfo
 	hasHosts bool
 	cells    map[cottonlanding.CellID]*ownedCell
-	seizing  map[cottonlanding.CellID]cottonlanding.Millis
-	draining bool
-	drained  []chan struct{}
+	// seizing says that a try to seize a cell is under way, seizeAfter when the next may begin.
+	seizing    map[cottonlanding.CellID]bool
+	seizeAfter map[cottonlanding.CellID]cottonlanding.Millis
+	draining   bool
+	drained    []chan struct{}
 
 	summaries atomic.Pointer[[]scheduler.Summary]
 	takeovers atomic.Int64
@@ -127,7 +129,8 @@
 		ctx:        ctx,
 		cancel:     cancel,
 		cells:      make(map[cottonlanding.CellID]*ownedCell),
-		seizing:    make(map[cottonlanding.CellID]cottonlanding.Millis),
+		seizing:    make(map[cottonlanding.CellID]bool),
+		seizeAfter: make(map[cottonlanding.CellID]cottonlanding.Millis),
 	}
 	o.summaries.Store(&[]scheduler.Summary{})
 	o.work.Go(o.run)
--- a/internal/placement/owner/ownership.go
+++ b/internal/placement/owner/ownership.go
@@ -106,12 +106,14 @@
 	row := o.view.Cells[id]
 	self := o.deps.Registrar.Session().ID
 	foreign := row.Owner != "" && row.Owner != self
-	if foreign && o.view.Alive(row.Owner) || now < o.seizing[id] {
+	if foreign && o.view.Alive(row.Owner) || o.seizing[id] || now < o.seizeAfter[id] {
 		return
 	}
-	o.seizing[id] = now + seizePause
+	o.seizing[id], o.seizeAfter[id] = true, now+seizePause
 	row.Cell = id
-	setup := scheduler.Setup{ID: id, Epoch: row.Epoch + 1, HandedOver: !foreign, PredecessorEnded: now}
+	// A row that names this session is of a try whose answer was lost, or of a cell
+	// that was lost here: nothing is known of the owner before.
+	setup := scheduler.Setup{ID: id, Epoch: row.Epoch + 1, HandedOver: row.Owner == "", PredecessorEnded: now}
 	if ended, known := o.view.Ended[row.Owner]; known && foreign {
 		setup.PredecessorEnded = ended
 	}
@@ -197,6 +199,7 @@
 }
 
 func (e seizedEvent) apply(o *Owner, now cottonlanding.Millis) {
+	o.seizing[e.row.Cell] = false
 	if e.err != nil {
 		o.deps.Log.Warn("could not take cell", "Cell", e.row.Cell, "Epoch", e.row.Epoch, "Error", e.err)
 		return
