A take-over repeats reads whose answers are lost, in place of beginning anew

Cause: a read of a cell's rows that got no answer ended the whole take-over; the next one wrote the owner row again and read from the start.

Ruled out: two hosts that take the cell from each other; one tried alone.

Change: each read of a take-over is repeated after 50 ms until its time is over.

--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -33,6 +33,8 @@
 	scanLimit     = 1000
 	// seizePause is the least time between two tries to seize a cell.
 	seizePause = 500 * cottonlanding.Millis(1)
+	// readPause is the time between two tries of a read in a take-over.
+	readPause = 50 * cottonlanding.Millis(1)
 	// keepsPerLease is the share of LeaseTTL for which a new owner keeps its cell:
 	// two renewals, after which all leases are as long as they get. Each change of
 	// owner uses them up by a little.
--- a/internal/placement/owner/ownership.go
+++ b/internal/placement/owner/ownership.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -168,12 +169,28 @@
 	return rows, err
 }
 
+// insist repeats a read of the table that got no answer until ctx ends: a take-over
+// that began anew for each lost answer might never end.
+func insist(ctx context.Context, read func() ([]cottonlanding.Row, error)) ([]cottonlanding.Row, error) {
+	for {
+		rows, err := read()
+		if !unanswered(err) {
+			return rows, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(readPause.Duration()):
+		}
+	}
+}
+
 func (o *Owner) readAll(ctx context.Context, keys []cottonlanding.Key) ([]cottonlanding.Row, error) {
 	var out []cottonlanding.Row
 	for len(keys) > 0 {
 		part := keys[:min(len(keys), scanLimit)]
 		keys = keys[len(part):]
-		rows, err := o.deps.Table.Read(ctx, part...)
+		rows, err := insist(ctx, func() ([]cottonlanding.Row, error) { return o.deps.Table.Read(ctx, part...) })
 		if err != nil {
 			return nil, err
 		}
@@ -186,7 +203,9 @@
 	var out []cottonlanding.Row
 	after := cottonlanding.Key("")
 	for {
-		rows, err := o.deps.Table.Scan(ctx, prefix, after, scanLimit)
+		rows, err := insist(ctx, func() ([]cottonlanding.Row, error) {
+			return o.deps.Table.Scan(ctx, prefix, after, scanLimit)
+		})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/placement/owner/takeover_test.go
+++ b/internal/placement/owner/takeover_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -36,6 +37,8 @@
 	// lookEvery is how often it is looked who is the owner.
 	lookEvery  = 20 * time.Millisecond
 	watchTasks = 6
+	// ownerPrefix is where the rows of owners are.
+	ownerPrefix = "Owners/"
 )
 
 var errCut = fmt.Errorf("killed: %w", cottonlanding.ErrUnavailable)
@@ -45,6 +48,9 @@
 	table  *keeper.Keeper
 	group  *worker.Group
 	killed atomic.Bool
+	// lossy loses two of three answers to scans of a cell's rows.
+	lossy atomic.Bool
+	scans atomic.Int64
 }
 
 // call takes its time and fails for a life that was killed meanwhile.
@@ -74,6 +80,10 @@
 	if err := o.call(tableDelay); err != nil {
 		return nil, err
 	}
+	coordination := strings.HasPrefix(string(prefix), string(registrar.Prefix)) || strings.HasPrefix(string(prefix), ownerPrefix)
+	if o.lossy.Load() && !coordination && o.scans.Add(1)%3 != 0 {
+		return nil, fmt.Errorf("answer lost: %w", cottonlanding.ErrAmbiguous)
+	}
 	return o.table.Scan(ctx, prefix, after, limit)
 }
 
@@ -275,3 +285,14 @@
 		}
 	}
 }
+
+func TestTakeOverEndsThoughAnswersAreLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := keeper.New()
+		l := begin(table, newWorkers(table), "a", loader.DefaultTiming())
+		l.outside.lossy.Store(true)
+		time.Sleep(10 * time.Second)
+		require.True(t, isOwner(l))
+		l.end()
+	})
+}
