--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -33,6 +33,12 @@
 	scanLimit     = 1000
 	// seizePause is the least time between two tries to seize a cell.
 	seizePause = 500 * cottonlanding.Millis(1)
+	// readPause is the time between two tries of a read in a take-over.
+	readPause = 50 * cottonlanding.Millis(1)
+	// keepsPerLease is the share of LeaseTTL for which a new owner keeps its cell:
+	// two renewals, after which all leases are as long as they get. Each change of
+	// owner uses them up by a little.
+	keepsPerLease = 2
 )
 
 // Dependencies are what an owner works with.
@@ -69,9 +75,11 @@
 	hosts    []cottonlanding.WorkerInfo
 	hasHosts bool
 	cells    map[cottonlanding.CellID]*ownedCell
-	seizing  map[cottonlanding.CellID]cottonlanding.Millis
-	draining bool
-	drained  []chan struct{}
+	// seizing says that a try to seize a cell is under way, seizeAfter when the next may begin.
+	seizing    map[cottonlanding.CellID]bool
+	seizeAfter map[cottonlanding.CellID]cottonlanding.Millis
+	draining   bool
+	drained    []chan struct{}
 
 	summaries atomic.Pointer[[]scheduler.Summary]
 	takeovers atomic.Int64
@@ -83,6 +91,8 @@
 type ownedCell struct {
 	cell *scheduler.Cell
 	row  observer.OwnerRow
+	// since is when the cell was taken.
+	since cottonlanding.Millis
 	// releasing says that nothing new is decided; releaseSent that the row was
 	// given up.
 	releasing   bool
@@ -121,7 +131,8 @@
 		ctx:        ctx,
 		cancel:     cancel,
 		cells:      make(map[cottonlanding.CellID]*ownedCell),
-		seizing:    make(map[cottonlanding.CellID]cottonlanding.Millis),
+		seizing:    make(map[cottonlanding.CellID]bool),
+		seizeAfter: make(map[cottonlanding.CellID]cottonlanding.Millis),
 	}
 	o.summaries.Store(&[]scheduler.Summary{})
 	o.work.Go(o.run)
--- a/internal/placement/owner/ownership.go
+++ b/internal/placement/owner/ownership.go
@@ -4,13 +4,16 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/committer"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/observer"
+	"github.com/cottonlanding/cottonlanding/internal/coordination/registrar"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/seizer"
 	"github.com/cottonlanding/cottonlanding/internal/placement/scheduler"
 )
@@ -37,14 +40,11 @@
 }
 
 // preferred returns the session that should own a cell: the one with the highest
-// hash of cell and session among those that are alive and staying.
+// hash of cell and session among the candidates.
 func (o *Owner) preferred(cell cottonlanding.CellID) cottonlanding.SessionID {
 	var best cottonlanding.SessionID
 	var highest uint64
-	for _, session := range o.view.Live {
-		if session.DataCentre != o.dataCentre || session.Leaving {
-			continue
-		}
+	for _, session := range o.candidates() {
 		rank := xxhash.Sum64String(string(cell) + "|" + string(session.ID))
 		if best == "" || rank > highest {
 			best, highest = session.ID, rank
@@ -53,6 +53,35 @@
 	return best
 }
 
+// candidates returns the sessions that are alive and staying. Those that are
+// starting count only if there are no others: one that came after an owner died
+// sees its end later than those that were there, and all would wait for it.
+func (o *Owner) candidates() []registrar.Session {
+	var settled, starting []registrar.Session
+	for _, session := range o.view.Live {
+		switch {
+		case session.DataCentre != o.dataCentre || session.Leaving:
+		case session.Starting:
+			starting = append(starting, session)
+		default:
+			settled = append(settled, session)
+		}
+	}
+	if len(settled) == 0 {
+		return starting
+	}
+	return settled
+}
+
+// handsOver reports whether a cell should be given to the preferred session.
+func (o *Owner) handsOver(owned *ownedCell, preferred cottonlanding.SessionID, now cottonlanding.Millis) bool {
+	self := o.deps.Registrar.Session().ID
+	if preferred == "" || preferred == self || now-owned.since < o.timing.LeaseTTL/keepsPerLease {
+		return false
+	}
+	return !slices.ContainsFunc(o.view.Live, func(s registrar.Session) bool { return s.ID == self && s.Starting })
+}
+
 // seizeDue seizes the cells that fall to this daemon, and begins to release
 // those that fall to another.
 func (o *Owner) seizeDue(now cottonlanding.Millis) {
@@ -66,7 +95,7 @@
 		owned := o.cells[id]
 		switch {
 		case owned != nil:
-			owned.releasing = owned.releasing || preferred != "" && preferred != self
+			owned.releasing = owned.releasing || o.handsOver(owned, preferred, now)
 		case preferred == self && o.hasRules && o.hasHosts && o.deps.Registrar.Valid():
 			o.seize(id, now)
 		}
@@ -78,12 +107,14 @@
 	row := o.view.Cells[id]
 	self := o.deps.Registrar.Session().ID
 	foreign := row.Owner != "" && row.Owner != self
-	if foreign && o.view.Alive(row.Owner) || now < o.seizing[id] {
+	if foreign && o.view.Alive(row.Owner) || o.seizing[id] || now < o.seizeAfter[id] {
 		return
 	}
-	o.seizing[id] = now + seizePause
+	o.seizing[id], o.seizeAfter[id] = true, now+seizePause
 	row.Cell = id
-	setup := scheduler.Setup{ID: id, Epoch: row.Epoch + 1, HandedOver: !foreign, PredecessorEnded: now}
+	// A row that names this session is of a try whose answer was lost, or of a cell
+	// that was lost here: nothing is known of the owner before.
+	setup := scheduler.Setup{ID: id, Epoch: row.Epoch + 1, HandedOver: row.Owner == "", PredecessorEnded: now}
 	if ended, known := o.view.Ended[row.Owner]; known && foreign {
 		setup.PredecessorEnded = ended
 	}
@@ -138,12 +169,28 @@
 	return rows, err
 }
 
+// insist repeats a read of the table that got no answer until ctx ends: a take-over
+// that began anew for each lost answer might never end.
+func insist(ctx context.Context, read func() ([]cottonlanding.Row, error)) ([]cottonlanding.Row, error) {
+	for {
+		rows, err := read()
+		if !unanswered(err) {
+			return rows, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(readPause.Duration()):
+		}
+	}
+}
+
 func (o *Owner) readAll(ctx context.Context, keys []cottonlanding.Key) ([]cottonlanding.Row, error) {
 	var out []cottonlanding.Row
 	for len(keys) > 0 {
 		part := keys[:min(len(keys), scanLimit)]
 		keys = keys[len(part):]
-		rows, err := o.deps.Table.Read(ctx, part...)
+		rows, err := insist(ctx, func() ([]cottonlanding.Row, error) { return o.deps.Table.Read(ctx, part...) })
 		if err != nil {
 			return nil, err
 		}
@@ -156,7 +203,9 @@
 	var out []cottonlanding.Row
 	after := cottonlanding.Key("")
 	for {
-		rows, err := o.deps.Table.Scan(ctx, prefix, after, scanLimit)
+		rows, err := insist(ctx, func() ([]cottonlanding.Row, error) {
+			return o.deps.Table.Scan(ctx, prefix, after, scanLimit)
+		})
 		if err != nil {
 			return nil, err
 		}
@@ -169,6 +218,7 @@
 }
 
 func (e seizedEvent) apply(o *Owner, now cottonlanding.Millis) {
+	o.seizing[e.row.Cell] = false
 	if e.err != nil {
 		o.deps.Log.Warn("could not take cell", "Cell", e.row.Cell, "Epoch", e.row.Epoch, "Error", e.err)
 		return
@@ -179,7 +229,7 @@
 		o.deps.Log.Error("could not load cell", "Cell", e.row.Cell, "Error", err)
 		return
 	}
-	o.cells[e.setup.ID] = &ownedCell{cell: cell, row: e.row, releasing: o.draining}
+	o.cells[e.setup.ID] = &ownedCell{cell: cell, row: e.row, since: now, releasing: o.draining}
 	o.takeovers.Add(1)
 	o.deps.Log.Info("took cell", "Cell", e.row.Cell, "Epoch", e.row.Epoch, "HandedOver", e.setup.HandedOver,
 		"Jobs", len(e.rows.jobs), "Tasks", len(e.rows.tasks))
