--- /dev/null
+++ b/internal/workflow/planner/stop_test.go
@@ -0,0 +1,70 @@
+package planner_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// stops returns the stops among the orders that are due now.
+func (w *world) stops() []planner.Order {
+	var out []planner.Order
+	for _, order := range w.cell.Orders(w.now) {
+		if order.Verb == planner.VerbStop {
+			out = append(out, order)
+		}
+	}
+	return out
+}
+
+// TestStopDoesNotWaitForAnAnswer: a stop is due at once though the start of its run
+// has no answer yet. Whichever the worker takes first, the run doesn't go on.
+func TestStopDoesNotWaitForAnAnswer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.lookAll()
+		w.submit("lasting", "Urgent", lasting(1, 0, 1000))
+		w.commit()
+		starts := w.cell.Orders(w.now)
+		require.Len(t, starts, 1)
+		w.cell.Cancel("lasting", w.now, func(error) {})
+		stops := w.stops()
+		require.Len(t, stops, 1)
+		orders := []planner.Order{starts[0], stops[0]}
+		if rapid.Bool().Draw(t, "StopFirst") {
+			orders[0], orders[1] = orders[1], orders[0]
+		}
+		for _, order := range orders {
+			reading, err := w.send(order)
+			w.cell.Ordered(order, reading, err, w.now)
+		}
+		require.Zero(t, w.runner.Lasting())
+		w.settle()
+		require.Zero(t, w.runner.Lasting())
+	})
+}
+
+// TestNewOwnerStopsWithoutALook: what a cancelled workflow still runs is stopped by a
+// new owner before its worker has been heard.
+func TestNewOwnerStopsWithoutALook(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.lookAll()
+		w.submit("lasting", "Urgent", lasting(1, 0, 1000))
+		w.decide(100)
+		w.decide(100)
+		require.Equal(t, 1, w.runner.Lasting())
+		w.cell.Cancel("lasting", w.now, func(error) {})
+		w.now += 100
+		w.commit()
+		w.takeOver()
+		stops := w.stops()
+		require.Len(t, stops, 1)
+		_, err := w.send(stops[0])
+		require.NoError(t, err)
+		require.Zero(t, w.runner.Lasting())
+	})
+}
