A stop waits for no other order of its run, and for no first look

Cause: one mark said that an order of a run was under way, whichever; and nothing was sent to a worker before its first answer. A stop needs neither: once the worker took it, no start of that run counts.

Change: stops have a mark and a pause of their own; they go out before a first look where the worker's address is known.

TestStopDoesNotWaitForAnAnswer, TestNewOwnerStopsWithoutALook, red before.

--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -54,7 +54,7 @@
 		w.ordersDue = false
 		for _, r := range w.runs.all() {
 			if order, due := c.orderFor(w, r, now); due {
-				r.ordered = true
+				r.noteGiven(order.Verb)
 				out = append(out, order)
 			}
 			w.ordersDue = w.ordersDue || r.needsOrder()
@@ -67,18 +67,45 @@
 // changes that otherwise makes the worker's orders due again.
 func (r *run) needsOrder() bool {
 	switch {
-	case r.ordered || r.phase == planned && !r.stopping:
+	case r.stopping:
+		return !r.stopOrdered
+	case r.ordered || r.phase == planned:
 		return false // an answer or a commit comes first
-	case r.stopping, r.phase < started:
+	case r.phase < started:
 		return true
 	}
 	return r.pace != r.paceGoal
 }
 
-func (c *Cell) orderFor(w *worker, r *run, now cottonlanding.Millis) (Order, bool) {
-	if r.ordered || now < r.nextTry || w.reading == 0 {
-		return Order{}, false
+// noteGiven notes that an order was given out, until its answer comes.
+func (r *run) noteGiven(verb Verb) {
+	if verb == VerbStop {
+		r.stopOrdered = true
+		r.stopTries++
+		return
+	}
+	r.ordered = true
+}
+
+// noteAnswered notes that an order was answered.
+func (r *run) noteAnswered(verb Verb) {
+	if verb == VerbStop {
+		r.stopOrdered = false
+		return
+	}
+	r.ordered = false
+}
+
+// stopDue reports whether a stop may be sent now. It waits for no answer to another
+// order of the run: whichever the worker takes first, the run doesn't go on.
+func (c *Cell) stopDue(w *worker, r *run, now cottonlanding.Millis) bool {
+	if r.stopOrdered || now < r.nextStop || r.phase < sent || w.info.Address == "" {
+		return false
 	}
+	return r.stopAcked == 0 || now-r.stopAcked > 2*c.timing.StopTimeout
+}
+
+func (c *Cell) orderFor(w *worker, r *run, now cottonlanding.Millis) (Order, bool) {
 	order := Order{
 		Worker:  cottonlanding.WorkerRef{ID: w.info.ID, Address: w.info.Address},
 		Start:   cottonlanding.RunStart{RunKey: r.RunKey, Epoch: c.setup.Epoch},
@@ -88,11 +115,9 @@
 	switch {
 	case r.stopping:
 		order.Verb = VerbStop
-		due := r.phase >= sent && (r.stopAcked == 0 || now-r.stopAcked > 2*c.timing.StopTimeout)
-		if due {
-			r.stopTries++
-		}
-		return order, due
+		return order, c.stopDue(w, r, now)
+	case r.ordered || now < r.nextTry || w.reading == 0:
+		return Order{}, false
 	case r.phase == cleared || r.phase == sent:
 		order.Verb = VerbStart
 		order.Start.Payload = r.task.job.Payload
@@ -119,7 +144,7 @@
 	if r == nil {
 		return
 	}
-	r.ordered = false
+	r.noteAnswered(order.Verb)
 	if err != nil {
 		c.log.Warn("order not taken", "Verb", order.Verb, "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Error", err)
 	}
@@ -200,7 +225,7 @@
 		}
 		return
 	}
-	r.nextTry = now + orderPause
+	r.nextStop = now + orderPause
 }
 
 // Superseded reports whether a worker has seen a newer owner.
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -76,6 +76,9 @@
 	stopSince  cottonlanding.Millis
 	stopSentAt cottonlanding.Millis
 	stopTries  int
+	// nextStop is when the next stop may be sent, stopOrdered says that one is under way.
+	nextStop    cottonlanding.Millis
+	stopOrdered bool
 	// unwanted is stopping for those who send orders, while the cell is busy.
 	unwanted atomic.Bool
 	// ruledOutAt is when the worker first took that: from then on it never starts the
