One decision places 400 tasks at most, also of one step

Cause: the bound was looked at between steps only; a step of 1,000 tasks was placed in one decision, which holds up all else of an owner.

TestOneDecisionPlacesSoMany, red before (600 of 600 at once).

--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -83,15 +83,19 @@
 			placed += c.placeGang(s, now)
 			continue
 		}
-		placed += c.placeStage(s, &misses, now)
+		placed += c.placeStage(s, maxPlacements-placed, &misses, now)
 	}
 }
 
-// placeStage gives the waiting tasks of a step to workers, and returns how many.
-func (c *Cell) placeStage(s *stage, misses *missList, now cottonlanding.Millis) int {
+// placeStage gives the waiting tasks of a step to workers, up to a number of them, and
+// returns how many.
+func (c *Cell) placeStage(s *stage, most int, misses *missList, now cottonlanding.Millis) int {
 	defer c.tellPlaced()
 	placed := 0
 	for _, t := range s.inTurn(now) {
+		if placed >= most {
+			return placed
+		}
 		if t.state != taskWaiting {
 			continue
 		}
--- a/internal/workflow/planner/place_test.go
+++ b/internal/workflow/planner/place_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -81,3 +82,26 @@
 		}
 	})
 }
+
+// TestOneDecisionPlacesSoMany: a decision holds up all else of an owner, so that a wide
+// step is placed in several.
+func TestOneDecisionPlacesSoMany(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const mostAtOnce = 400
+		w := newWorld(t)
+		w.workers[0].Capacity.CPU = 2_000_000
+		w.cell.SetWorkers(slices.Clone(w.workers), w.now)
+		w.lookAll()
+		tasks := rapid.IntRange(600, 1000).Draw(t, "Tasks")
+		w.submit("slow", "Urgent", cottonlanding.Step{Tasks: tasks, Resources: cottonlanding.Resources{CPU: 100}})
+		placed := 0
+		for range 3 {
+			w.commit()
+			now := len(w.cell.Orders(w.now))
+			require.LessOrEqual(t, now, mostAtOnce)
+			placed += now
+			w.now += 100
+		}
+		require.Equal(t, tasks, placed)
+	})
+}
