Leases are renewed also while ends wait for a commit

Cause: asking what to look at next noted that a look goes out. A look that waits for a place asks twice, so that the second time it was told to wait another second, for ever: workers with ends that are not committed got no look, and their runs ended with their leases.

Change: what goes out is noted when it goes out.

TestLeasesAreRenewedWhileEndsAreNotCommitted, red before. TestStopDoesNotWaitForTheRepeatedStartOfItsRun and TestDecisionsDoNotShortenLeases are green with the code before it as well.

--- a/internal/workflow/driver/attendant.go
+++ b/internal/workflow/driver/attendant.go
@@ -97,10 +97,20 @@
 	}
 }
 
+func (d *Driver) noteLookSent(id cottonlanding.WorkerID) cottonlanding.Millis {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.deps.Clock.Now()
+	if d.cell != nil {
+		d.cell.LookSent(id, now)
+	}
+	return now
+}
+
 func (d *Driver) look(next planner.NextLook) {
 	ctx, cancel := context.WithTimeout(d.ctx, (next.Look.Wait + callTimeout).Duration())
 	defer cancel()
-	sentAt := d.deps.Clock.Now()
+	sentAt := d.noteLookSent(next.Worker.ID)
 	report, err := d.deps.Workers.Look(ctx, next.Worker, next.Look)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -56,12 +56,17 @@
 			next.Look.Wait = busyWait
 		}
 	}
-	if unnoted {
-		w.unnotedSince = now // look again after another pause
-	}
 	return next, true
 }
 
+// LookSent takes in that a look at the worker goes out: if its ends aren't committed by
+// then, the next one follows after another pause.
+func (c *Cell) LookSent(id cottonlanding.WorkerID, now cottonlanding.Millis) {
+	if w := c.workers[id]; w != nil && w.noted > w.seen {
+		w.unnotedSince = now
+	}
+}
+
 // Looked takes in the answer to a look that was sent at sentAt.
 func (c *Cell) Looked(id cottonlanding.WorkerID, report cottonlanding.RunReport, sentAt, now cottonlanding.Millis) {
 	w := c.workers[id]
