A start that waits in the owner isn't sent once its worker is leaving

Cause: starts that had been given out were left alone until they were answered, so that they reached a worker seconds after it was known to leave (DRAIN).

--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -166,11 +166,12 @@
 		}
 		for _, r := range w.runs.snapshot() {
 			switch {
-			case r.ordered || r.phase > sent || r.task == nil:
-			case r.phase < sent && (r.stopping || w.leaving()):
-				c.vanish(r, now)
+			case r.phase > sent || r.task == nil:
 			case r.phase == sent && w.leaving():
+				// The start may still wait behind others: it isn't sent then.
 				c.stop(r, "its worker is leaving and has not told of the start", now)
+			case !r.ordered && r.phase < sent && (r.stopping || w.leaving()):
+				c.vanish(r, now)
 			}
 		}
 	}
