--- a/internal/workflow/driver/attendant.go
+++ b/internal/workflow/driver/attendant.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -43,14 +42,17 @@
 	case <-d.ctx.Done():
 		return
 	}
-	var once sync.Once
-	leave := func() { once.Do(func() { <-d.promptLooks }) }
-	defer leave()
-	held := time.AfterFunc(promptHold.Duration(), leave)
-	defer held.Stop()
+	ended := make(chan struct{})
+	defer close(ended)
+	go d.keepPlace(ended)
 	// What to ask, and whether the ownership still holds, may have changed meanwhile.
-	if next, found := d.nextLook(id); found && next.After == 0 {
-		d.look(next)
+	next, found := d.nextLook(id)
+	if !found || next.After > 0 {
+		return
+	}
+	began := d.deps.Clock.Now()
+	if d.look(next) {
+		d.promptTook.Store(int64(d.deps.Clock.Now() - began))
 	}
 }
 
@@ -107,24 +109,43 @@
 	return now
 }
 
-func (d *Driver) look(next planner.NextLook) {
+// keepPlace keeps the place of a prompt look until it has ended, or for promptHold
+// while others are answered sooner than that: its worker is silent then.
+func (d *Driver) keepPlace(ended chan struct{}) {
+	defer func() { <-d.promptLooks }()
+	timer := time.NewTimer(promptHold.Duration())
+	defer timer.Stop()
+	select {
+	case <-ended:
+		return
+	case <-timer.C:
+	}
+	if d.promptTook.Load() >= int64(promptHold) {
+		<-ended
+	}
+}
+
+// look asks a worker and tells the cell, and reports whether it answered. What the
+// answer means holds from when it came: a decision may hold the cell for long after.
+func (d *Driver) look(next planner.NextLook) bool {
 	ctx, cancel := context.WithTimeout(d.ctx, (next.Look.Wait + callTimeout).Duration())
 	defer cancel()
 	sentAt := d.noteLookSent(next.Worker.ID)
 	report, err := d.deps.Workers.Look(ctx, next.Worker, next.Look)
+	answered := d.deps.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cell == nil || d.ctx.Err() != nil {
-		return
+		return false
 	}
-	now := d.deps.Clock.Now()
 	if err != nil {
-		d.cell.LookFailed(next.Worker.ID, err, now)
-		return
+		d.cell.LookFailed(next.Worker.ID, err, answered)
+		return false
 	}
-	d.cell.Looked(next.Worker.ID, report, sentAt, now)
+	d.cell.Looked(next.Worker.ID, report, sentAt, answered)
 	if len(report.Ended) > 0 {
 		kick(d.decisionsDue)
 	}
 	d.kickOrders()
+	return true
 }
--- /dev/null
+++ b/internal/workflow/driver/backlog_test.go
@@ -0,0 +1,45 @@
+package driver_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// slowCommits takes a while for each commit.
+type slowCommits struct {
+	cottonlanding.Table
+	after time.Duration
+}
+
+func (s *slowCommits) Commit(ctx context.Context, transaction cottonlanding.Transaction) (cottonlanding.Receipt, error) {
+	time.Sleep(s.after)
+	return s.Table.Commit(ctx, transaction)
+}
+
+// TestLeasesAreRenewedWhileCommitsLagBehind: more changes than a commit takes must not
+// keep a worker from being looked at, though its ends are told as seen only later.
+func TestLeasesAreRenewedWhileCommitsLagBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOwner(t, setup{workers: 4, room: 64, policy: spread(), table: func(inner cottonlanding.Table) cottonlanding.Table {
+			return &slowCommits{Table: inner, after: 100 * time.Millisecond}
+		}})
+		defer o.driver.Close()
+		o.submit("lasting", cottonlanding.Step{Tasks: 4, Lasting: true})
+		o.eventually("the lasting tasks run", func() bool { return o.runner.Lasting() == 4 })
+		for number := range 6000 {
+			go o.offer(cottonlanding.WorkflowID(fmt.Sprintf("w%d", number)), cottonlanding.Step{Tasks: 1})
+			time.Sleep(2 * time.Millisecond)
+		}
+		counts := o.driver.Counts()
+		t.Logf("ends: %v, lost: %d", counts.Ends, counts.Lost)
+		require.Zero(t, counts.Ends[cottonlanding.EndLapsed], "runs whose lease ran out on a worker that answers")
+		require.Equal(t, 4, o.runner.Lasting())
+	})
+}
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -39,9 +39,9 @@
 	// and for a commit, and has 1.2 s for all of that.
 	behindAfter = 350 * cottonlanding.Millis(1)
 	// mostPromptLooks bounds the looks that ask for an answer at once, promptHold is how
-	// long one counts as such. Small hosts take some 10 ms for one, by estimate: the
-	// answers are then read within callTimeout. Where a third of 350 workers is cut off,
-	// the others are heard within a second.
+	// long one counts as such while others are answered sooner. Small hosts take some 10 ms
+	// for one, by estimate: the answers are then read within callTimeout. Where a third of
+	// 350 workers is cut off, the others are heard within a second.
 	mostPromptLooks = 32
 	promptHold      = 250 * cottonlanding.Millis(1)
 )
@@ -76,7 +76,7 @@
 
 	committer *committer.Committer
 	outbox    *outbox
-	watch     *watch
+	meter     *meter
 	stalled   atomic.Bool
 	// behind says that the last decision took longer than behindAfter.
 	behind atomic.Bool
@@ -85,6 +85,8 @@
 	ordersDue    chan struct{}
 	// promptLooks holds a place for each look that asks for an answer at once.
 	promptLooks chan struct{}
+	// promptTook is how long the last of those that was answered took, in milliseconds.
+	promptTook atomic.Int64
 	// stopping ends the decisions, ended tells that they have ended.
 	stopping chan struct{}
 	ended    chan struct{}
@@ -106,7 +108,7 @@
 		attended:     make(map[cottonlanding.WorkerID]chan struct{}),
 		promptLooks:  make(chan struct{}, mostPromptLooks),
 		outbox:       newOutbox(),
-		watch:        newWatch(deps.Log),
+		meter:        newMeter(deps.Log),
 		decisionsDue: make(chan struct{}, 1),
 		ordersDue:    make(chan struct{}, 1),
 		stopping:     make(chan struct{}),
@@ -202,11 +204,16 @@
 	}
 	done := make(chan error, 1)
 	if err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) {
+		if ctx.Err() != nil {
+			done <- fmt.Errorf("its caller has given up: %w", cottonlanding.ErrUnavailable)
+			return
+		}
 		do(cell, now, func(err error) { done <- err })
 	}); err != nil {
 		return err
 	}
 	kick(d.decisionsDue)
+	d.kickOrders()
 	select {
 	case err := <-done:
 		return err
@@ -257,8 +264,8 @@
 	return d.cell.Counts()
 }
 
-// Pace returns how quickly this owner got on lately.
-func (d *Driver) Pace() Pace { return d.watch.pace() }
+// Progress returns how quickly this owner got on lately.
+func (d *Driver) Progress() Progress { return d.meter.progress() }
 
 // kick wakes a loop, or leaves it be if it is to wake anyway.
 func kick(loop chan struct{}) {
@@ -285,7 +292,7 @@
 		if !goOn {
 			return
 		}
-		d.sleep(pauseAfter(took))
+		d.pause(pauseAfter(took))
 		select {
 		case <-d.ctx.Done():
 			return
@@ -318,9 +325,9 @@
 	d.cell.Decide(now, time.Now().UnixMilli())
 	plan := d.cell.Plan(now)
 	superseded := d.cell.Superseded()
-	d.mu.Unlock()
 	took.decided = d.deps.Clock.Now()
 	d.noteBehind(took.decided - took.began)
+	d.mu.Unlock()
 	if superseded {
 		d.lose("a worker has seen a newer owner")
 		return took, false
@@ -335,7 +342,7 @@
 	}
 	d.kickOrders()
 	took.ended = d.deps.Clock.Now()
-	d.watch.noteTurn(took)
+	d.meter.noteTurn(took)
 	return took, true
 }
 
@@ -420,6 +427,17 @@
 	d.deps.Log.Info("commits go on")
 }
 
+// pause is sleep, but for a driver that is being released.
+func (d *Driver) pause(span cottonlanding.Millis) {
+	timer := time.NewTimer(span.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-d.stopping:
+	case <-d.ctx.Done():
+	}
+}
+
 func (d *Driver) sleep(span cottonlanding.Millis) {
 	timer := time.NewTimer(span.Duration())
 	defer timer.Stop()
--- a/internal/workflow/driver/driver_test.go
+++ b/internal/workflow/driver/driver_test.go
@@ -328,8 +328,7 @@
 // slow to read the answers in time come to nothing, and are sent again. Workers that
 // are silent must not hold up the others.
 func TestNewOwnerAsksSomeWorkersAtATime(t *testing.T) {
-	const workers = 350
-	ask := func(t *testing.T, cost time.Duration, silent int) (*slowAnswers, time.Duration) {
+	ask := func(t *testing.T, workers int, cost time.Duration, silent int) (*slowAnswers, time.Duration) {
 		answers := &slowAnswers{cost: cost, processor: make(chan struct{}, 1), silent: func(id cottonlanding.WorkerID) bool {
 			var number int
 			_, err := fmt.Sscanf(string(id), "w%d", &number)
@@ -351,13 +350,13 @@
 	}
 	t.Run("slow owner", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			answers, _ := ask(t, 10*time.Millisecond, 0)
+			answers, _ := ask(t, 350, 10*time.Millisecond, 0)
 			require.Zero(t, answers.failed.Load(), "looks whose answers came too late")
 		})
 	})
 	t.Run("silent workers", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			_, took := ask(t, 100*time.Microsecond, workers/3)
+			_, took := ask(t, 350, 100*time.Microsecond, 350/3)
 			require.Less(t, took, time.Second)
 		})
 	})
--- /dev/null
+++ b/internal/workflow/driver/meter.go
@@ -0,0 +1,94 @@
+package driver
+
+import (
+	"log/slog"
+	"sync"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// meterEvery is how often the progress of an owner is logged: often enough to tell
+// an owner that falls behind from workers that don't answer.
+const meterEvery = 2 * cottonlanding.Second
+
+// Progress is how quickly an owner got on since it was last asked.
+type Progress struct {
+	Turns int
+	// Decide, Commit and Turn are the longest of each.
+	Decide cottonlanding.Millis
+	Commit cottonlanding.Millis
+	Turn   cottonlanding.Millis
+	// Pause is the longest time between two turns: above the tick, the process got
+	// too little of its processor.
+	Pause cottonlanding.Millis
+	// Orders counts the orders sent, OrderWait is the longest time that one waited
+	// for those before it, OrderCall the longest call.
+	Orders    int
+	OrderWait cottonlanding.Millis
+	OrderCall cottonlanding.Millis
+	// Streams is the most queues of orders that were under way at once.
+	Streams int
+}
+
+// meter measures the progress of one driver.
+type meter struct {
+	log *slog.Logger
+
+	mu     sync.Mutex
+	now    Progress
+	last   Progress
+	told   cottonlanding.Millis
+	turned cottonlanding.Millis
+}
+
+func newMeter(log *slog.Logger) *meter { return &meter{log: log} }
+
+// turnTimes are the instants of one turn.
+type turnTimes struct {
+	began, decided, ended cottonlanding.Millis
+}
+
+// noteTurn takes in a turn, and logs the progress from time to time.
+func (m *meter) noteTurn(t turnTimes) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now.Turns++
+	m.now.Decide = max(m.now.Decide, t.decided-t.began)
+	m.now.Commit = max(m.now.Commit, t.ended-t.decided)
+	m.now.Turn = max(m.now.Turn, t.ended-t.began)
+	if m.turned > 0 {
+		m.now.Pause = max(m.now.Pause, t.began-m.turned)
+	}
+	m.turned = t.ended
+	if t.ended-m.told < meterEvery {
+		return
+	}
+	m.told, m.last, m.now = t.ended, m.now, Progress{}
+	p := m.last
+	m.log.Info("progress of the owner", "Turns", p.Turns, "LongestDecide", p.Decide, "LongestCommit", p.Commit,
+		"LongestTurn", p.Turn, "LongestPause", p.Pause, "Orders", p.Orders, "LongestOrderWait", p.OrderWait,
+		"LongestOrder", p.OrderCall, "MostStreams", p.Streams)
+}
+
+// noteStreams takes in how many streams have orders under way.
+func (m *meter) noteStreams(streams int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now.Streams = max(m.now.Streams, streams)
+}
+
+// noteOrder takes in an order that was given out, sent and answered.
+func (m *meter) noteOrder(given, sent, answered cottonlanding.Millis) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now.Orders++
+	m.now.OrderWait = max(m.now.OrderWait, sent-given)
+	m.now.OrderCall = max(m.now.OrderCall, answered-sent)
+}
+
+// progress returns what was logged last.
+func (m *meter) progress() Progress {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.last
+}
--- a/internal/workflow/driver/outbox.go
+++ b/internal/workflow/driver/outbox.go
@@ -7,16 +7,16 @@
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
-// lane is a queue of orders to one worker, each sent once the one before it was
-// answered. Stops have a lane of their own: a start or a change of pace may take
+// stream is a queue of orders to one worker, each sent once the one before it was
+// answered. Stops have a stream of their own: a start or a change of pace may take
 // as long as a call may, and a stop must not wait for that.
-type lane struct {
+type stream struct {
 	worker cottonlanding.WorkerID
 	stops  bool
 }
 
-func laneOf(order planner.Order) lane {
-	return lane{worker: order.Worker.ID, stops: order.Verb == planner.VerbStop}
+func streamOf(order planner.Order) stream {
+	return stream{worker: order.Worker.ID, stops: order.Verb == planner.VerbStop}
 }
 
 // answeredOrder is an order with what became of it, and when.
@@ -35,34 +35,34 @@
 	answersDue chan struct{}
 
 	mu       sync.Mutex
-	lanes    map[lane][]planner.Order
+	streams  map[stream][]planner.Order
 	answered []answeredOrder
 }
 
 func newOutbox() *outbox {
-	return &outbox{answersDue: make(chan struct{}, 1), lanes: make(map[lane][]planner.Order)}
+	return &outbox{answersDue: make(chan struct{}, 1), streams: make(map[stream][]planner.Order)}
 }
 
-// add queues an order, and reports whether nobody sends the orders of its lane yet.
-func (o *outbox) add(order planner.Order) (lane, bool) {
+// add queues an order, and reports whether nobody sends the orders of its stream yet.
+func (o *outbox) add(order planner.Order) (stream, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	at := laneOf(order)
-	queued, running := o.lanes[at]
-	o.lanes[at] = append(queued, order)
+	at := streamOf(order)
+	queued, running := o.streams[at]
+	o.streams[at] = append(queued, order)
 	return at, !running
 }
 
-// next takes the next order of a lane; false means that the lane has ended.
-func (o *outbox) next(at lane) (planner.Order, bool) {
+// next takes the next order of a stream; false means that the stream has ended.
+func (o *outbox) next(at stream) (planner.Order, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	queued := o.lanes[at]
+	queued := o.streams[at]
 	if len(queued) == 0 {
-		delete(o.lanes, at)
+		delete(o.streams, at)
 		return planner.Order{}, false
 	}
-	o.lanes[at] = queued[1:]
+	o.streams[at] = queued[1:]
 	return queued[0], true
 }
 
@@ -83,9 +83,9 @@
 	return out
 }
 
-// size counts the lanes with orders under way.
+// size counts the streams with orders under way.
 func (o *outbox) size() int {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.lanes)
+	return len(o.streams)
 }
--- a/internal/workflow/driver/sender.go
+++ b/internal/workflow/driver/sender.go
@@ -28,7 +28,7 @@
 // kickOrders has the orders looked through soon.
 func (d *Driver) kickOrders() { kick(d.ordersDue) }
 
-// dispatch hands the due orders to one goroutine for each lane.
+// dispatch hands the due orders to one goroutine for each stream.
 func (d *Driver) dispatch() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -41,11 +41,11 @@
 			d.work.Go(func() { d.sendAll(at) })
 		}
 	}
-	d.watch.noteLanes(d.outbox.size())
+	d.meter.noteStreams(d.outbox.size())
 }
 
-// sendAll sends the orders of a lane until there are no more.
-func (d *Driver) sendAll(at lane) {
+// sendAll sends the orders of a stream until there are no more.
+func (d *Driver) sendAll(at stream) {
 	for {
 		order, found := d.outbox.next(at)
 		if !found {
@@ -54,7 +54,7 @@
 		order.SentAt = d.deps.Clock.Now()
 		reading, err := d.send(order)
 		answered := d.deps.Clock.Now()
-		d.watch.noteOrder(order.GivenAt, order.SentAt, answered)
+		d.meter.noteOrder(order.GivenAt, order.SentAt, answered)
 		d.outbox.answer(answeredOrder{order: order, reading: reading, err: err, at: answered})
 	}
 }
--- a/internal/workflow/gateway/gauges.go
+++ b/internal/workflow/gateway/gauges.go
@@ -27,7 +27,7 @@
 	} {
 		gauge(name, float64(count))
 	}
-	for name, span := range g.pace() {
+	for name, span := range g.progress() {
 		gauge(name, span.Duration().Seconds())
 	}
 	for kind, count := range counts.Ends {
@@ -35,17 +35,17 @@
 	}
 }
 
-// pace returns the gauges of how quickly the owner got on lately.
-func (g *Gateway) pace() map[string]cottonlanding.Millis {
+// progress returns the gauges of how quickly the owner got on lately.
+func (g *Gateway) progress() map[string]cottonlanding.Millis {
 	local := g.local()
 	if local == nil {
 		return nil
 	}
-	pace := local.Pace()
+	progress := local.Progress()
 	return map[string]cottonlanding.Millis{
-		"owner_longest_turn_seconds":       pace.Turn,
-		"owner_longest_pause_seconds":      pace.Pause,
-		"owner_longest_order_wait_seconds": pace.OrderWait,
-		"owner_longest_order_seconds":      pace.OrderCall,
+		"owner_longest_turn_seconds":       progress.Turn,
+		"owner_longest_pause_seconds":      progress.Pause,
+		"owner_longest_order_wait_seconds": progress.OrderWait,
+		"owner_longest_order_seconds":      progress.OrderCall,
 	}
 }
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -114,9 +114,9 @@
 	return out
 }
 
-// SetQueues replaces the operators' queues unless they are older than those known.
+// SetQueues replaces the operators' queues unless they are known or older than those.
 func (c *Cell) SetQueues(queues cottonlanding.Queues) {
-	if queues.Version < c.queues.Version {
+	if queues.Version <= c.queues.Version {
 		return
 	}
 	c.queues = queues
--- a/internal/workflow/planner/stop_test.go
+++ b/internal/workflow/planner/stop_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
@@ -68,3 +69,31 @@
 		require.Zero(t, w.runner.Lasting())
 	})
 }
+
+// TestUnwantedRepetitionIsStoppedAllTheSame: a start whose answer was lost may have
+// been carried out; that its repetition wasn't sent says nothing of it.
+func TestUnwantedRepetitionIsStoppedAllTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.lookAll()
+		w.submit("lasting", "Urgent", lasting(1, 0, 1000))
+		w.commit()
+		first := w.cell.Orders(w.now)
+		require.Len(t, first, 1)
+		_, err := w.send(first[0])
+		require.NoError(t, err)
+		w.cell.Ordered(first[0], 0, cottonlanding.ErrAmbiguous, w.now)
+		w.now += 300
+		again := w.cell.Orders(w.now)
+		require.Len(t, again, 1)
+		require.Equal(t, planner.VerbStart, again[0].Verb)
+		w.cell.Cancel("lasting", w.now, func(error) {})
+		require.True(t, again[0].Unwanted())
+		w.cell.Ordered(again[0], 0, planner.ErrUnwanted, w.now)
+		for _, stop := range w.stops() {
+			_, err := w.send(stop)
+			require.NoError(t, err)
+		}
+		require.Zero(t, w.runner.Lasting(), "the run of the start whose answer was lost")
+	})
+}
