--- a/internal/workflow/driver/attendant.go
+++ b/internal/workflow/driver/attendant.go
@@ -44,7 +44,7 @@
 	}
 	ended := make(chan struct{})
 	defer close(ended)
-	go d.keepPlace(ended)
+	d.work.Go(func() { d.keepPlace(ended) })
 	// What to ask, and whether the ownership still holds, may have changed meanwhile.
 	next, found := d.nextLook(id)
 	if !found || next.After > 0 {
@@ -89,16 +89,13 @@
 // wakeAttendants lets attendants look again that waited for a commit.
 func (d *Driver) wakeAttendants() {
 	for id, wake := range d.attended {
-		if !d.cell.Seen(id) {
-			continue
-		}
-		select {
-		case wake <- struct{}{}:
-		default:
+		if d.cell.Seen(id) {
+			kick(wake)
 		}
 	}
 }
 
+// noteLookSent tells the cell that a look goes out now, and returns that instant.
 func (d *Driver) noteLookSent(id cottonlanding.WorkerID) cottonlanding.Millis {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/workflow/planner/keep_test.go
+++ b/internal/workflow/planner/keep_test.go
@@ -15,7 +15,7 @@
 	// keptSoon is by when a worker is kept for a lasting task that waits.
 	keptSoon = 6 * cottonlanding.Second
 	// startWithin is how soon a lasting task must run where capacity exists twice
-	// over. Source: the rule LOST, six seconds after its last run and three of calm.
+	// over. Source: the users' rule on lost tasks: six seconds after its last run, and three of calm.
 	startWithin = 9 * cottonlanding.Second
 	// turnSpan is the span of a turn.
 	turnSpan = 50 * cottonlanding.Millis(1)
