--- a/internal/workflow/driver/driver_test.go
+++ b/internal/workflow/driver/driver_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"log/slog"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,140 +13,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cottonlanding/cottonlanding"
-	"github.com/cottonlanding/cottonlanding/internal/platform/keeper"
-	"github.com/cottonlanding/cottonlanding/internal/policy/placer"
-	"github.com/cottonlanding/cottonlanding/internal/stand/runner"
-	"github.com/cottonlanding/cottonlanding/internal/workflow/driver"
-	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
-const (
-	partition = cottonlanding.Partition("Test")
-	ownerRow  = cottonlanding.Key("Test:Owner")
-	// patience is how long a test waits for what should come at once.
-	patience = 10 * time.Second
-)
-
-// owner is one driver with a table and workers of its own.
-type owner struct {
-	t      *testing.T
-	clock  cottonlanding.Clock
-	runner *runner.Runner
-	driver *driver.Driver
-}
-
-// setup says what a test needs otherwise than usual.
-type setup struct {
-	workers int
-	// room is how many tasks of one core each worker takes.
-	room   int
-	policy cottonlanding.PlacementPolicy
-	// client wraps the workers, table the table.
-	client func(cottonlanding.RunClient) cottonlanding.RunClient
-	table  func(cottonlanding.Table) cottonlanding.Table
-}
-
-func newOwner(t *testing.T, s setup) *owner {
-	o := &owner{t: t, clock: cottonlanding.NewClock()}
-	o.runner = runner.New(o.clock, func(key cottonlanding.RunKey) runner.Fate {
-		return runner.Fate{Lasts: 200, Forever: key.Task.Workflow == "lasting"}
-	})
-	var workers []cottonlanding.WorkerInfo
-	for number := range s.workers {
-		id := cottonlanding.WorkerID(fmt.Sprintf("w%d", number))
-		o.runner.Add(id, 5000)
-		workers = append(workers, cottonlanding.WorkerInfo{ID: id, Address: cottonlanding.Address(id), Service: "S",
-			State: cottonlanding.Live, Capacity: cottonlanding.Resources{CPU: 1000 * cottonlanding.Millicores(s.room), Memory: 1 << 50}})
-	}
-	table := cottonlanding.Table(keeper.New())
-	_, err := table.Commit(context.Background(), cottonlanding.Transaction{ID: "owner", Writes: []cottonlanding.Write{{Key: ownerRow}}})
-	require.NoError(t, err)
-	rows, err := table.Read(context.Background(), ownerRow)
-	require.NoError(t, err)
-	if s.table != nil {
-		table = s.table(table)
-	}
-	client := cottonlanding.RunClient(&patientWorkers{o.runner})
-	if s.client != nil {
-		client = s.client(client)
-	}
-	queues := cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{
-		"Q": {Name: "Q", Service: "S", Attempts: 3, Stretch: 2, LatencyTarget: 1000},
-	}}
-	o.driver = driver.New(driver.Dependencies{
-		Table:       table,
-		Workers:     client,
-		Clock:       o.clock,
-		Log:         slog.New(slog.NewTextHandler(io.Discard, nil)),
-		ListWorkers: func() ([]cottonlanding.WorkerInfo, bool) { return workers, true },
-		Queues:      func() cottonlanding.Queues { return queues },
-		ValidUntil:  func() cottonlanding.Millis { return o.clock.Now() + cottonlanding.Minute },
-		Lost:        func() { t.Error("the ownership was lost") },
-	}, planner.Setup{
-		Partition: partition,
-		Epoch:     1,
-		Guard:     cottonlanding.Check{Key: ownerRow, Expect: rows[0].Version},
-	}, planner.Timing{Lease: 6000, CutOffGrace: 1000, StopTimeout: 200, Retention: cottonlanding.Minute}, planner.Policy{Placement: s.policy})
-	return o
-}
-
-// submit hands in a workflow of one step, once the owner has loaded its rows.
-func (o *owner) submit(id cottonlanding.WorkflowID, step cottonlanding.Step) {
-	o.t.Helper()
-	o.eventually("the workflow is accepted", func() bool { return o.offer(id, step) == nil })
-}
-
-// offer hands in a workflow of one step once.
-func (o *owner) offer(id cottonlanding.WorkflowID, step cottonlanding.Step) error {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	defer cancel()
-	step.Resources = cottonlanding.Resources{CPU: 1000}
-	return o.driver.Submit(ctx, cottonlanding.Workflow{ID: id, Queue: "Q", Steps: []cottonlanding.Step{step}})
-}
-
-func (o *owner) cancel(id cottonlanding.WorkflowID) {
-	o.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
-	defer cancel()
-	require.NoError(o.t, o.driver.Cancel(ctx, id))
-}
-
-// eventually waits on the clock of the test, real or virtual.
-func (o *owner) eventually(what string, holds func() bool) {
-	o.t.Helper()
-	for began := time.Now(); !holds(); time.Sleep(5 * time.Millisecond) {
-		require.Less(o.t, time.Since(began), patience, what)
-	}
-}
-
-func spread() cottonlanding.PlacementPolicy {
-	policy, _ := placer.Get(placer.Fallback)
-	return policy
-}
-
-// patientWorkers hold the answer to a look back until a run has ended, as real ones do.
-type patientWorkers struct {
-	*runner.Runner
-}
-
-// lookPause is how often they look for an end meanwhile.
-const lookPause = 20 * time.Millisecond
-
-func (p *patientWorkers) Look(ctx context.Context, worker cottonlanding.WorkerRef, look cottonlanding.Look) (cottonlanding.RunReport, error) {
-	until := time.Now().Add(look.Wait.Duration())
-	for {
-		report, err := p.Runner.Look(ctx, worker, look)
-		if err != nil || len(report.Ended) > 0 || !time.Now().Before(until) {
-			return report, err
-		}
-		select {
-		case <-time.After(lookPause):
-		case <-ctx.Done():
-			return cottonlanding.RunReport{}, cottonlanding.ErrAmbiguous
-		}
-	}
-}
-
 // slowStarts answers starts of workflow "slow" only after a while.
 type slowStarts struct {
 	cottonlanding.RunClient
