--- a/internal/workflow/driver/owner_test.go
+++ b/internal/workflow/driver/owner_test.go
@@ -144,4 +144,3 @@
 		}
 	}
 }
-
