--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net/url"
 	"sync"
+	"time"
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/committer"
@@ -31,12 +32,24 @@
 	pruneEvery = cottonlanding.Second
 	// pruneBatch bounds the rows deleted at a time.
 	pruneBatch = 200
+	// settleWait is how long a repeat waits for the answer of the call that holds its
+	// key. A caller has its answer before that is committed, so that a repeat which comes
+	// at once finds the claim without it. Commits take some 10 ms, by measurement, and the
+	// answer may wait behind the one under way; a second leaves room for a busy host, and
+	// a repeat of a call that is still running, or whose host is gone, isn't held for long.
+	settleWait = cottonlanding.Second
+	// firstSettlePause is the pause after the first look for such an answer, twice that of
+	// the one before after each further one: eight reads at most.
+	firstSettlePause = 5 * cottonlanding.Millis(1)
 )
 
 // ErrUnsettled reports a key that was claimed before and has no answer yet, or
 // whose answer was never learnt.
 var ErrUnsettled = errors.New("the request was taken before and its outcome isn't known")
 
+// errRunning is ErrUnsettled of a claim to which an answer may still come.
+var errRunning = fmt.Errorf("%w yet", ErrUnsettled)
+
 // Record is the value of a claim's row.
 type Record struct {
 	Session cottonlanding.SessionID
@@ -127,7 +140,7 @@
 }
 
 // Claim takes a key for this daemon. If it was taken before, the answer is the
-// kept one, or the error is ErrUnsettled. ErrUnavailable means that the key was
+// kept one, for which it waits a little, or the error is ErrUnsettled. ErrUnavailable means that the key was
 // not taken, so that the request must not be run.
 func (c *Claimer) Claim(ctx context.Context, service cottonlanding.ServiceName, key string) (Claim, *Record, error) {
 	if c.full() {
@@ -139,12 +152,43 @@
 	row := Key(service, key)
 	claimed, err := c.create(ctx, row)
 	if errors.Is(err, cottonlanding.ErrConflict) {
-		record, err := c.Lookup(ctx, row)
+		record, err := c.awaitSettled(ctx, row)
 		return Claim{}, record, err
 	}
 	return claimed, nil, err
 }
 
+// awaitSettled returns the kept answer of a claimed key, also if it is only being
+// committed, or ErrUnsettled.
+func (c *Claimer) awaitSettled(ctx context.Context, row cottonlanding.Key) (*Record, error) {
+	until := c.clock.Now() + settleWait
+	for pause := firstSettlePause; ; pause *= 2 {
+		record, err := c.lookup(ctx, row)
+		if !errors.Is(err, errRunning) || c.clock.Now()+pause > until {
+			c.countRepeat(err)
+			return record, err
+		}
+		select {
+		case <-time.After(pause.Duration()):
+		case <-ctx.Done():
+			c.countRepeat(err)
+			return record, err
+		}
+	}
+}
+
+// countRepeat counts a repeat that got a kept answer, or whose outcome is unknown.
+func (c *Claimer) countRepeat(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case err == nil:
+		c.kept++
+	case errors.Is(err, ErrUnsettled):
+		c.denied++
+	}
+}
+
 func (c *Claimer) full() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -185,9 +229,9 @@
 	}
 }
 
-// Lookup returns the kept answer of a claimed key, or ErrUnsettled. A key that
+// lookup returns the kept answer of a claimed key, or ErrUnsettled. A key that
 // is free by now gives ErrUnavailable: the caller may come again.
-func (c *Claimer) Lookup(ctx context.Context, row cottonlanding.Key) (*Record, error) {
+func (c *Claimer) lookup(ctx context.Context, row cottonlanding.Key) (*Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout.Duration())
 	defer cancel()
 	rows, err := c.table.Read(ctx, row)
@@ -201,13 +245,12 @@
 	if err := json.Unmarshal(rows[0].Value, &record); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnsettled, err)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if record.Outcome != cottonlanding.Ran || record.TooLarge {
-		c.denied++
+	switch {
+	case record.Outcome == "":
+		return nil, errRunning
+	case record.Outcome != cottonlanding.Ran || record.TooLarge:
 		return nil, ErrUnsettled
 	}
-	c.kept++
 	return &record, nil
 }
 
--- a/internal/request/claimer/claimer_test.go
+++ b/internal/request/claimer/claimer_test.go
@@ -62,6 +62,40 @@
 	})
 }
 
+// TestRepeatWaitsForAnAnswerThatIsBeingKept repeats a request on another host as soon as
+// its caller has the answer, which is before that is committed.
+func TestRepeatWaitsForAnAnswerThatIsBeingKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := keeper.New()
+		a, b := newHost(table, "a"), newHost(table, "b")
+		claim, _, err := a.claimer.Claim(context.Background(), "Ofenbuch", "k")
+		require.NoError(t, err)
+		a.claimer.Settle(claim, cottonlanding.Ran, cottonlanding.Answer{Status: http.StatusOK, Body: []byte("kiln 2")})
+		_, kept, err := b.claimer.Claim(context.Background(), "Ofenbuch", "k")
+		require.NoError(t, err)
+		require.Equal(t, "kiln 2", string(kept.Body))
+		a.close()
+		b.close()
+	})
+}
+
+// TestRepeatOfARunningRequestIsToldSoon checks that a repeat doesn't wait for long for a
+// request that is still running, or whose host is gone.
+func TestRepeatOfARunningRequestIsToldSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := keeper.New()
+		a, b := newHost(table, "a"), newHost(table, "b")
+		_, _, err := a.claimer.Claim(context.Background(), "Ofenbuch", "k")
+		require.NoError(t, err)
+		began := time.Now()
+		_, _, err = b.claimer.Claim(context.Background(), "Ofenbuch", "k")
+		require.ErrorIs(t, err, claimer.ErrUnsettled)
+		require.Less(t, time.Since(began), 1500*time.Millisecond)
+		a.close()
+		b.close()
+	})
+}
+
 func TestReleasedKeyIsFree(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := newHost(keeper.New(), "a")
