--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,12 +20,17 @@
 	processesKey = "processes"
 	endWithin    = 40 * time.Second
 	pause        = 50 * time.Millisecond
+	// reportBytes is how much of the output of each process of a failed script is
+	// printed: some hundred lines.
+	reportBytes = 20_000
 )
 
 // process is a program that a script started.
 type process struct {
 	command *exec.Cmd
 	done    chan struct{}
+	// how tells when and how the process ended, once done is closed.
+	how string
 }
 
 // processes are those of one script, by name.
@@ -35,10 +42,29 @@
 func setUp(env *testscript.Env) error {
 	all := &processes{byName: make(map[string]*process)}
 	env.Values[processesKey] = all
-	env.Defer(all.killAll)
+	env.Defer(func() {
+		all.killAll()
+		if t, ok := env.T().(testscript.TFailed); ok && t.Failed() {
+			all.report(env)
+		}
+	})
 	return nil
 }
 
+// report prints how each process of a failed script ended, and the end of its output.
+func (p *processes) report(env *testscript.Env) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(p.byName)) {
+		output, err := os.ReadFile(filepath.Join(env.WorkDir, name+".log"))
+		if err != nil {
+			output = []byte(err.Error())
+		}
+		tail := output[max(0, len(output)-reportBytes):]
+		env.T().Log(fmt.Sprintf("process %s: %s; output: %s", name, p.byName[name].how, tail))
+	}
+}
+
 func (p *processes) killAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -78,7 +104,9 @@
 	ts.Check(command.Start())
 	one := &process{command: command, done: make(chan struct{})}
 	go func() {
-		_ = command.Wait() // scripts kill processes on purpose
+		began := time.Now()
+		err := command.Wait() // scripts kill processes on purpose
+		one.how = fmt.Sprintf("ended after %s: %v", time.Since(began).Round(time.Millisecond), err)
 		_ = log.Close()
 		close(one.done)
 	}()
