--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -278,9 +278,9 @@
 
 // rules picks the policies that a configuration names; loader has checked them.
 func rules(configuration cottonlanding.Configuration) scheduler.Rules {
-	placement, _ := placer.Get(configuration.Policies.Placement)
-	eviction, _ := evictor.Get(configuration.Policies.Eviction)
-	admission, _ := orderer.Get(configuration.Policies.Admission)
+	placement, _ := placer.Catalog.Get(configuration.Policies.Placement)
+	eviction, _ := evictor.Catalog.Get(configuration.Policies.Eviction)
+	admission, _ := orderer.Catalog.Get(configuration.Policies.Admission)
 	return scheduler.Rules{
 		Placement: placement,
 		Eviction:  eviction,
--- a/internal/placement/owner/takeover_test.go
+++ b/internal/placement/owner/takeover_test.go
@@ -131,9 +131,9 @@
 		Released:  func(cottonlanding.CellID) {},
 	}, dataCentre, 1, scheduler.Timing{LeaseTTL: timing.LeaseTTL, CutOffGrace: timing.CutOffGrace, Retention: timing.JobRetention})
 	l.observer = observer.New(l.outside, clock, dataCentre, timing.SessionTTL, timing.Poll, l.owner.Observed)
-	placement, _ := placer.Get("spread")
-	eviction, _ := evictor.Get("leastlost")
-	admission, _ := orderer.Get("fifo")
+	placement, _ := placer.Catalog.Get("spread")
+	eviction, _ := evictor.Catalog.Get("leastlost")
+	admission, _ := orderer.Catalog.Get("fifo")
 	l.owner.SetRules(scheduler.Rules{
 		Placement: placement, Eviction: eviction, Admission: admission,
 		Limits: cottonlanding.Limits{Attempts: 3},
--- a/internal/placement/scheduler/world_test.go
+++ b/internal/placement/scheduler/world_test.go
@@ -41,9 +41,9 @@
 )
 
 func newRules(ahead int) scheduler.Rules {
-	placement, _ := placer.Get("spread")
-	eviction, _ := evictor.Get("leastlost")
-	admission, _ := orderer.Get("fifo")
+	placement, _ := placer.Catalog.Get("spread")
+	eviction, _ := evictor.Catalog.Get("leastlost")
+	admission, _ := orderer.Catalog.Get("fifo")
 	return scheduler.Rules{
 		Placement: placement, Eviction: eviction, Admission: admission,
 		Limits: cottonlanding.Limits{Attempts: 3, AssignAhead: ahead},
--- a/internal/policy/evictor/evictor.go
+++ b/internal/policy/evictor/evictor.go
@@ -2,28 +2,15 @@
 package evictor
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/policy/cataloger"
 )
 
 // Fallback is the policy used when operators name none.
 const Fallback = "leastlost"
 
-var registry = map[string]func() cottonlanding.EvictionPolicy{
+// Catalog holds the variants.
+var Catalog = cataloger.Catalog[cottonlanding.EvictionPolicy]{
 	"leastlost": func() cottonlanding.EvictionPolicy { return LeastLost{} },
 	"youngest":  func() cottonlanding.EvictionPolicy { return Youngest{} },
 }
-
-// Get returns a fresh policy of that name, and whether there is one.
-func Get(name string) (cottonlanding.EvictionPolicy, bool) {
-	create, found := registry[name]
-	if !found {
-		return nil, false
-	}
-	return create(), true
-}
-
-// Names returns the names of all policies, sorted.
-func Names() []string { return slices.Sorted(maps.Keys(registry)) }
--- a/internal/policy/orderer/orderer.go
+++ b/internal/policy/orderer/orderer.go
@@ -2,28 +2,15 @@
 package orderer
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/policy/cataloger"
 )
 
 // Fallback is the order used when operators name none.
 const Fallback = "fifo"
 
-var registry = map[string]func() cottonlanding.AdmissionOrder{
+// Catalog holds the variants.
+var Catalog = cataloger.Catalog[cottonlanding.AdmissionOrder]{
 	"fifo":       func() cottonlanding.AdmissionOrder { return FIFO{} },
 	"leastshare": func() cottonlanding.AdmissionOrder { return LeastShare{} },
 }
-
-// Get returns a fresh order of that name, and whether there is one.
-func Get(name string) (cottonlanding.AdmissionOrder, bool) {
-	create, found := registry[name]
-	if !found {
-		return nil, false
-	}
-	return create(), true
-}
-
-// Names returns the names of all orders, sorted.
-func Names() []string { return slices.Sorted(maps.Keys(registry)) }
--- a/internal/policy/placer/placer.go
+++ b/internal/policy/placer/placer.go
@@ -2,28 +2,16 @@
 package placer
 
 import (
-	"maps"
-	"slices"
-
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/policy/cataloger"
 )
 
 // Fallback is the policy used when operators name none.
 const Fallback = "spread"
 
-var registry = map[string]func() cottonlanding.PlacementPolicy{
+// Catalog holds the variants.
+var Catalog = cataloger.Catalog[cottonlanding.PlacementPolicy]{
+	"pack":     func() cottonlanding.PlacementPolicy { return Pack{} },
 	"firstfit": func() cottonlanding.PlacementPolicy { return FirstFit{} },
 	"spread":   func() cottonlanding.PlacementPolicy { return Spread{} },
 }
-
-// Get returns a fresh policy of that name, and whether there is one.
-func Get(name string) (cottonlanding.PlacementPolicy, bool) {
-	create, found := registry[name]
-	if !found {
-		return nil, false
-	}
-	return create(), true
-}
-
-// Names returns the names of all policies, sorted.
-func Names() []string { return slices.Sorted(maps.Keys(registry)) }
--- a/internal/settings/loader/configuration.go
+++ b/internal/settings/loader/configuration.go
@@ -92,9 +92,9 @@
 	checkTeams(document, c.Teams)
 	checkServices(document, c.Services)
 	checkJobs(document, c)
-	checkVariant(document, "Policies.Placement", c.Policies.Placement, placer.Names())
-	checkVariant(document, "Policies.Eviction", c.Policies.Eviction, evictor.Names())
-	checkVariant(document, "Policies.Admission", c.Policies.Admission, orderer.Names())
+	checkVariant(document, "Policies.Placement", c.Policies.Placement, placer.Catalog.Names())
+	checkVariant(document, "Policies.Eviction", c.Policies.Eviction, evictor.Catalog.Names())
+	checkVariant(document, "Policies.Admission", c.Policies.Admission, orderer.Catalog.Names())
 	checkRange(document, "Limits.Attempts", c.Limits.Attempts, 1, mostAttempts)
 	checkRange(document, "Limits.AssignAhead", c.Limits.AssignAhead, 0, mostAhead)
 }
