--- a/internal/workflow/planner/stop_test.go
+++ b/internal/workflow/planner/stop_test.go
@@ -97,3 +97,32 @@
 		require.Zero(t, w.runner.Lasting(), "the run of the start whose answer was lost")
 	})
 }
+
+// TestLateStartOfACancelledTaskIsStopped: a worker carries out a start long after its
+// workflow was cancelled. The run is stopped within seconds, also by an owner that knows
+// nothing of it, and after the workflow's rows are gone.
+func TestLateStartOfACancelledTaskIsStopped(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		w.lookAll()
+		w.submit("lasting", "Urgent", lasting(1, 0, 1000))
+		w.commit()
+		w.orders(func() string { return "late" })
+		require.Len(t, w.late, 1)
+		w.cell.Cancel("lasting", w.now, func(error) {})
+		w.now += 100
+		w.commit()
+		if rapid.Bool().Draw(t, "RowsGone") {
+			clear(w.rows)
+		}
+		if rapid.Bool().Draw(t, "NewOwner") || len(w.rows) == 0 {
+			w.takeOver()
+			w.play(cottonlanding.Millis(rapid.IntRange(0, 8).Draw(t, "Later")) * cottonlanding.Second)
+		}
+		_, _ = w.send(w.late[0]) // a worker that was told to stop it refuses
+		w.late = nil
+		w.play(3 * cottonlanding.Second)
+		require.Zero(t, w.runner.Lasting())
+		require.Empty(t, w.runner.Violations())
+	})
+}
