--- a/bench/ablate.sh
+++ b/bench/ablate.sh
@@ -12,8 +12,7 @@
 shift 3
 variants=("$@")
 if [ ${#variants[@]} = 0 ]; then
-  variants=(ShortPlacement=spread LastingPlacement=spread Disturbance=cautious Mixing=anywhere RunTimes=declared
-    Return=constant TakeOver=silence)
+  variants=(ShortPlacement=spread LastingPlacement=spread Disturbance=cautious Mixing=anywhere TakeOver=silence)
 fi
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 work=${WORK:-$(mktemp -d)}
--- a/internal/policy/selector/selector.go
+++ b/internal/policy/selector/selector.go
@@ -8,12 +8,9 @@
 	"slices"
 	"strings"
 
-	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/policy/cataloger"
 	"github.com/cottonlanding/cottonlanding/internal/policy/mixer"
 	"github.com/cottonlanding/cottonlanding/internal/policy/placer"
-	"github.com/cottonlanding/cottonlanding/internal/policy/predictor"
-	"github.com/cottonlanding/cottonlanding/internal/policy/returner"
 	"github.com/cottonlanding/cottonlanding/internal/policy/weigher"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
@@ -36,7 +33,6 @@
 // Set holds the policies of a host.
 type Set struct {
 	Planner planner.Policy
-	Return  cottonlanding.ReturnPolicy
 	// Reclaim says that a host takes what an earlier life of its own held at once.
 	Reclaim bool
 }
@@ -57,9 +53,7 @@
 			FillingPlacement: choose(s, "FillingPlacement", placer.Catalog, "spread")(),
 			Disturbance:      choose(s, "Disturbance", weigher.Catalog, weigher.Fallback)(),
 			Mixing:           choose(s, "Mixing", mixer.Catalog, mixer.Fallback)(),
-			NewRunTimes:      choose(s, "RunTimes", predictor.Catalog, predictor.Fallback),
 		},
-		Return:  choose(s, "Return", returner.Catalog, returner.Fallback)(),
 		Reclaim: choose(s, "TakeOver", takeOvers, "reclaim")(),
 	}
 	s.checkUnused()
--- a/internal/policy/selector/selector_test.go
+++ b/internal/policy/selector/selector_test.go
@@ -5,8 +5,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/cottonlanding/cottonlanding/internal/policy/mixer"
 	"github.com/cottonlanding/cottonlanding/internal/policy/placer"
-	"github.com/cottonlanding/cottonlanding/internal/policy/returner"
 	"github.com/cottonlanding/cottonlanding/internal/policy/selector"
 	"github.com/cottonlanding/cottonlanding/internal/policy/weigher"
 )
@@ -16,13 +16,13 @@
 	require.NoError(t, err)
 	require.Equal(t, placer.Spread{}, set.Planner.ShortPlacement)
 	require.Equal(t, weigher.Cautious{}, set.Planner.Disturbance)
-	require.Equal(t, returner.Growing{}, set.Return, "what isn't named has its fallback")
+	require.Equal(t, mixer.LeastLost{}, set.Planner.Mixing, "what isn't named has its fallback")
 	require.False(t, set.Reclaim)
 	require.True(t, selector.Default().Reclaim)
 }
 
 func TestUnknownNamesAreTold(t *testing.T) {
-	_, err := selector.New(selector.Names{"Return": "never", "Colour": "red"})
-	require.ErrorContains(t, err, `Return: "never" is none of constant, growing`)
+	_, err := selector.New(selector.Names{"Mixing": "never", "Colour": "red"})
+	require.ErrorContains(t, err, `Mixing: "never" is none of anywhere, leastlost`)
 	require.ErrorContains(t, err, "Colour: no such decision; there are ShortPlacement")
 }
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,7 +18,6 @@
 	"github.com/cottonlanding/cottonlanding/internal/coordination/holder"
 	"github.com/cottonlanding/cottonlanding/internal/peer/messenger"
 	"github.com/cottonlanding/cottonlanding/internal/peer/wire"
-	"github.com/cottonlanding/cottonlanding/internal/policy/returner"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/driver"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
@@ -34,8 +32,6 @@
 	Holder      holder.Timing
 	Planner     planner.Timing
 	Policy      planner.Policy
-	// Return tells refused callers when to come back.
-	Return cottonlanding.ReturnPolicy
 }
 
 // Dependencies are what a gateway works with.
@@ -57,8 +53,6 @@
 	deps      Dependencies
 	holder    *holder.Holder
 	messenger *messenger.Messenger
-	// returns knows for how long nothing could be accepted here.
-	returns *returner.Tracker
 
 	// cutOffUntil is until when calls are refused because neither the table nor the
 	// owner could be reached, in milliseconds of the clock.
@@ -73,11 +67,7 @@
 
 // New starts to follow the owner, and to be it when nobody else is.
 func New(settings Settings, deps Dependencies) (*Gateway, error) {
-	g := &Gateway{
-		settings: settings,
-		deps:     deps,
-		returns:  returner.NewTracker(settings.Return, deps.Clock, rand.Int64N),
-	}
+	g := &Gateway{settings: settings, deps: deps}
 	var err error
 	g.messenger, err = messenger.Serve(settings.PeerAddress, func(server grpc.ServiceRegistrar) {
 		wire.RegisterWorkflowsServer(server, &peerServer{gateway: g})
@@ -166,17 +156,6 @@
 // Submit hands in a workflow. ErrUnavailable, ErrNotFound and ErrCannotRun mean
 // that it was not accepted and never will be, ErrAmbiguous that it may be.
 func (g *Gateway) Submit(ctx context.Context, workflow cottonlanding.Workflow) error {
-	err := g.submit(ctx, workflow)
-	if err == nil {
-		g.returns.Accepted()
-	}
-	return err
-}
-
-// RetryAfter returns when a caller that is refused should come back, in whole seconds.
-func (g *Gateway) RetryAfter() cottonlanding.Millis { return g.returns.Refused() }
-
-func (g *Gateway) submit(ctx context.Context, workflow cottonlanding.Workflow) error {
 	if local := g.local(); local != nil {
 		return local.Submit(ctx, workflow)
 	}
--- a/internal/workflow/gateway/gateway_test.go
+++ b/internal/workflow/gateway/gateway_test.go
@@ -122,7 +122,6 @@
 		Holder:      holder.Timing{TTL: 600, SlowTTL: 2000, SlowCall: 150, Poll: 100, Timeout: 500, SlowTimeout: 1000, Handicap: 300, SlowHandicap: 300},
 		Planner:     planner.Timing{Lease: 3000, CutOffGrace: 1000, StopTimeout: 300, Retention: cottonlanding.Minute},
 		Policy:      selector.Default().Planner,
-		Return:      selector.Default().Return,
 	}, gateway.Dependencies{
 		Table:         d.table,
 		Workers:       d.runner,
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -59,7 +59,6 @@
 	// plans counts the plans made.
 	plans    int64
 	pressure *pressure
-	runTimes cottonlanding.RunTimePredictor
 	// learntAt is when what was learnt was last written, learntVersion that row's version.
 	learntAt      cottonlanding.Millis
 	learntVersion cottonlanding.Version
@@ -101,7 +100,6 @@
 		dirty:    make(map[cottonlanding.WorkflowID]*job),
 		replies:  make(map[cottonlanding.WorkflowID][]func(error)),
 		pressure: newPressure(policy.Disturbance),
-		runTimes: policy.NewRunTimes(),
 		counts:   Counts{Ends: make(map[cottonlanding.EndKind]int64)},
 	}
 }
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -22,10 +22,6 @@
 	// lateAt is when the workflow can't be done in its time any more, zero before it
 	// was asked for and when it must be worked out anew.
 	lateAt cottonlanding.Millis
-	// lateKnown is when that was worked out.
-	lateKnown cottonlanding.Millis
-	// turn is where the workflow goes among those of its priority.
-	turn int
 	// lasts says that a step of the job is lasting, missed that a task of such a step
 	// was interrupted and has waited for long.
 	lasts, missed bool
@@ -301,19 +297,15 @@
 	return j.state.Final() && now-j.ended > c.timing.Retention
 }
 
-// latenessAge is for how long a workflow's lateness holds although nothing of it has
-// changed: what is known of run times does.
-const latenessAge = 500 * cottonlanding.Millis(1)
-
 // lateness is 1 for a workflow that can't be done in its time any more, else 0.
 // One that lasts counts as late once its latency target has passed: it can wait,
 // while short ones of the same priority are worth most if they are done soon.
-func (c *Cell) lateness(j *job, now cottonlanding.Millis) int {
+func (j *job) lateness(now cottonlanding.Millis) int {
 	if j.queue.Stretch <= 0 || j.Schedule.Rounds > 0 {
 		return 0
 	}
-	if j.lateAt == 0 || now-j.lateKnown > latenessAge {
-		j.lateAt, j.lateKnown = j.accepted+c.objective(j)-c.chainLeft(j), now
+	if j.lateAt == 0 {
+		j.lateAt = j.accepted + j.objective() - j.chainLeft()
 	}
 	if now <= j.lateAt {
 		return 0
@@ -322,17 +314,17 @@
 }
 
 // objective is the time in which the workflow should be done.
-func (c *Cell) objective(j *job) cottonlanding.Millis {
-	chain := c.longestChain(j, func(*stage) bool { return true })
+func (j *job) objective() cottonlanding.Millis {
+	chain := j.longestChain(func(*stage) bool { return true })
 	return cottonlanding.Millis(j.queue.Stretch*float64(chain)) + j.queue.LatencyTarget
 }
 
-// chainLeft is the longest chain of expected run times through the steps that are not done.
-func (c *Cell) chainLeft(j *job) cottonlanding.Millis {
-	return c.longestChain(j, func(s *stage) bool { return !s.finished() })
+// chainLeft is the longest chain of estimates through the steps that are not done.
+func (j *job) chainLeft() cottonlanding.Millis {
+	return j.longestChain(func(s *stage) bool { return !s.finished() })
 }
 
-func (c *Cell) longestChain(j *job, counts func(*stage) bool) cottonlanding.Millis {
+func (j *job) longestChain(counts func(*stage) bool) cottonlanding.Millis {
 	r := j.rounds[0]
 	if r == nil {
 		return 0
@@ -344,7 +336,7 @@
 			upTo[i] = max(upTo[i], upTo[earlier])
 		}
 		if counts(s) {
-			upTo[i] += c.expected(j, s)
+			upTo[i] += s.Estimate
 		}
 		longest = max(longest, upTo[i])
 	}
--- a/internal/workflow/planner/pace.go
+++ b/internal/workflow/planner/pace.go
@@ -112,7 +112,6 @@
 		if pace == 0 && f.paceGoal > 0 {
 			f.paceSince = now
 		}
-		f.noteSlowed(now)
 		f.paceGoal = pace
 		f.worker.ordersDue = true
 	}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -34,8 +34,6 @@
 	// of several images come together.
 	Disturbance cottonlanding.DisturbancePolicy
 	Mixing      cottonlanding.MixingPolicy
-	// NewRunTimes makes the predictor of one ownership.
-	NewRunTimes func() cottonlanding.RunTimePredictor
 }
 
 // placement returns the policy that places tasks of a kind.
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -47,7 +47,6 @@
 	switch {
 	case end.Kind == cottonlanding.EndDone && !t.stage.Lasting:
 		w.health.noteSuccess(r, now)
-		c.learnRunTime(r, now)
 		c.finish(t, now)
 	case end.Kind == cottonlanding.EndFailed:
 		w.health.noteFailure(now)
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -21,12 +21,11 @@
 	var out []*stage
 	for _, j := range c.order {
 		j.missed = j.lasts && j.missesTask(now)
-		j.turn = c.turnOf(j, now)
 	}
 	slices.SortStableFunc(c.order, func(a, b *job) int {
 		return cmp.Or(
 			cmp.Compare(a.queue.Priority, b.queue.Priority),
-			cmp.Compare(a.turn, b.turn),
+			cmp.Compare(a.turn(now), b.turn(now)),
 			cmp.Compare(a.sequence, b.sequence))
 	})
 	for _, j := range c.order {
@@ -41,12 +40,12 @@
 	return out
 }
 
-// turnOf returns where a workflow goes among those of its priority.
-func (c *Cell) turnOf(j *job, now cottonlanding.Millis) int {
+// turn is where a workflow goes among those of its priority.
+func (j *job) turn(now cottonlanding.Millis) int {
 	if j.missed {
 		return -1
 	}
-	return c.lateness(j, now)
+	return j.lateness(now)
 }
 
 // missesTask reports whether a lasting task of the workflow was interrupted and has
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -92,9 +92,6 @@
 	pace      int                  // as last taken by the worker
 	paceGoal  int
 	paceSince cottonlanding.Millis // when the pace became zero
-	// slowed is the time that slower paces have cost until slowedAt.
-	slowed   cottonlanding.Millis
-	slowedAt cottonlanding.Millis
 	// reaffirmAt is when the pace is to be ordered once more, or zero.
 	reaffirmAt cottonlanding.Millis
 	// overSince is when a serving task was first seen over its target, or zero.
--- a/policy.go
+++ b/policy.go
@@ -80,15 +80,6 @@
 	Untried(pair PairView) bool
 }
 
-// RunTimePredictor predicts how long tasks run on a worker that works at full speed.
-// It is used by one goroutine at a time.
-type RunTimePredictor interface {
-	// Learn takes in that a task of the queue took that long, against its client's estimate.
-	Learn(queue QueueName, estimate, took Millis)
-	// Predict returns how long a task of the queue is expected to take.
-	Predict(queue QueueName, estimate Millis) Millis
-}
-
 // MixView is what becomes of a worker if a serving task of another image joins those
 // that it has.
 type MixView struct {
@@ -102,10 +93,3 @@
 	// Narrow returns the indices of the workers to choose from, at least one of them.
 	Narrow(workers []MixView) []int
 }
-
-// ReturnPolicy tells callers that are refused when to come back.
-type ReturnPolicy interface {
-	// RetryAfter returns the wait of a caller who is refused once nothing could be
-	// accepted for a while.
-	RetryAfter(outage Millis) Millis
-}
