--- a/internal/workflow/planner/mix.go
+++ b/internal/workflow/planner/mix.go
@@ -11,6 +11,22 @@
 // known of pairs changes within seconds.
 const borneAge = cottonlanding.Second
 
+// narrow returns the candidates on which a serving task may join others of other images.
+func (c *Cell) narrow(t *task, candidates []*worker, now cottonlanding.Millis) []*worker {
+	if len(candidates) < 2 {
+		return candidates
+	}
+	views := make([]cottonlanding.MixView, len(candidates))
+	for i, w := range candidates {
+		views[i] = c.pressure.mix(c.room(w, now).slacks, t.stage.Image, now)
+	}
+	var out []*worker
+	for _, at := range c.policy.Mixing.Narrow(views) {
+		out = append(out, candidates[at])
+	}
+	return out
+}
+
 // mix returns what becomes of a worker on which some images serve if another joins them.
 func (p *pressure) mix(slacks []imageSlack, joining cottonlanding.Image, now cottonlanding.Millis) cottonlanding.MixView {
 	images := make([]cottonlanding.Image, 0, len(slacks)+1)
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -23,30 +23,6 @@
 	maxPlacements = 400
 )
 
-// Policy holds the exchangeable parts of the decisions.
-type Policy struct {
-	// ShortPlacement, LastingPlacement and FillingPlacement pick among the workers that
-	// suit a task of the kind equally well.
-	ShortPlacement   cottonlanding.PlacementPolicy
-	LastingPlacement cottonlanding.PlacementPolicy
-	FillingPlacement cottonlanding.PlacementPolicy
-	// Disturbance decides what is assumed of pairs of images, Mixing where serving tasks
-	// of several images come together.
-	Disturbance cottonlanding.DisturbancePolicy
-	Mixing      cottonlanding.MixingPolicy
-}
-
-// placement returns the policy that places tasks of a kind.
-func (p Policy) placement(k kind) cottonlanding.PlacementPolicy {
-	switch k {
-	case fillingTask:
-		return p.FillingPlacement
-	case lastingTask:
-		return p.LastingPlacement
-	}
-	return p.ShortPlacement
-}
-
 // Decide takes in that time has passed: it gives up what surely ended, begins
 // rounds that are due, and places tasks. wall is the time of day in milliseconds
 // since 1970.
@@ -298,22 +274,6 @@
 	return r.task.stage.load.value
 }
 
-// narrow returns the candidates on which a serving task may join others of other images.
-func (c *Cell) narrow(t *task, candidates []*worker, now cottonlanding.Millis) []*worker {
-	if len(candidates) < 2 {
-		return candidates
-	}
-	views := make([]cottonlanding.MixView, len(candidates))
-	for i, w := range candidates {
-		views[i] = c.pressure.mix(c.room(w, now).slacks, t.stage.Image, now)
-	}
-	var out []*worker
-	for _, at := range c.policy.Mixing.Narrow(views) {
-		out = append(out, candidates[at])
-	}
-	return out
-}
-
 // ask lets the policy choose. Filling tasks see what is expected to be left of a
 // worker, all others its unreserved room.
 func (c *Cell) ask(t *task, candidates []*worker, now cottonlanding.Millis) *worker {
--- /dev/null
+++ b/internal/workflow/planner/policy.go
@@ -0,0 +1,27 @@
+package planner
+
+import "github.com/cottonlanding/cottonlanding"
+
+// Policy holds the exchangeable parts of the decisions.
+type Policy struct {
+	// ShortPlacement, LastingPlacement and FillingPlacement pick among the workers that
+	// suit a task of the kind equally well.
+	ShortPlacement   cottonlanding.PlacementPolicy
+	LastingPlacement cottonlanding.PlacementPolicy
+	FillingPlacement cottonlanding.PlacementPolicy
+	// Disturbance decides what is assumed of pairs of images, Mixing where serving tasks
+	// of several images come together.
+	Disturbance cottonlanding.DisturbancePolicy
+	Mixing      cottonlanding.MixingPolicy
+}
+
+// placement returns the policy that places tasks of a kind.
+func (p Policy) placement(k kind) cottonlanding.PlacementPolicy {
+	switch k {
+	case fillingTask:
+		return p.FillingPlacement
+	case lastingTask:
+		return p.LastingPlacement
+	}
+	return p.ShortPlacement
+}
