--- a/internal/workflow/gateway/gateway_test.go
+++ b/internal/workflow/gateway/gateway_test.go
@@ -75,6 +75,10 @@
 	}
 }
 
+// peerIP is the loopback address of the hosts' listeners. Proxies and connections, which take
+// any free port of 127.0.0.1, can't take theirs between the probe and the listening.
+const peerIP = "127.0.66.1"
+
 func deploy(t *testing.T) *deployment {
 	clock := cottonlanding.NewClock()
 	d := &deployment{t: t, clock: clock, table: &switchedTable{Table: keeper.New()}}
@@ -105,7 +109,7 @@
 
 // sizedHost starts a host with a share of a core.
 func (d *deployment) sizedHost(number int, share float64) *gateway.Gateway {
-	probe, err := net.Listen("tcp", "127.0.0.1:0")
+	probe, err := net.Listen("tcp", peerIP+":0")
 	require.NoError(d.t, err)
 	address := cottonlanding.Address(probe.Addr().String())
 	require.NoError(d.t, probe.Close())
