--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -140,8 +140,8 @@
 }
 
 // Claim takes a key for this daemon. If it was taken before, the answer is the
-// kept one, for which it waits a little, or the error is ErrUnsettled. ErrUnavailable means that the key was
-// not taken, so that the request must not be run.
+// kept one, for which it waits a little, or the error is ErrUnsettled.
+// ErrUnavailable means that the key was not taken, so that the request must not be run.
 func (c *Claimer) Claim(ctx context.Context, service cottonlanding.ServiceName, key string) (Claim, *Record, error) {
 	if c.full() {
 		return Claim{}, nil, fmt.Errorf("too many claims: %w", cottonlanding.ErrUnavailable)
@@ -153,6 +153,7 @@
 	claimed, err := c.create(ctx, row)
 	if errors.Is(err, cottonlanding.ErrConflict) {
 		record, err := c.awaitSettled(ctx, row)
+		c.countRepeat(err)
 		return Claim{}, record, err
 	}
 	return claimed, nil, err
@@ -165,13 +166,11 @@
 	for pause := firstSettlePause; ; pause *= 2 {
 		record, err := c.lookup(ctx, row)
 		if !errors.Is(err, errRunning) || c.clock.Now()+pause > until {
-			c.countRepeat(err)
 			return record, err
 		}
 		select {
 		case <-time.After(pause.Duration()):
 		case <-ctx.Done():
-			c.countRepeat(err)
 			return record, err
 		}
 	}
--- a/internal/workflow/planner/kind.go
+++ b/internal/workflow/planner/kind.go
@@ -15,9 +15,6 @@
 	kinds
 )
 
-// serves reports whether the step's tasks answer users of their own.
-func (s *stage) serves() bool { return s.LatencyTarget > 0 && !s.Fills }
-
 func kindOf(step cottonlanding.Step) kind {
 	switch {
 	case step.Fills:
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -177,7 +177,7 @@
 // serving tasks first, to leave the other workers to those that disturb.
 func (c *Cell) prefer(t *task, w *worker, now cottonlanding.Millis) preference {
 	room := c.room(w, now)
-	serves := t.stage.serves()
+	serves := t.stage.Serves()
 	switch {
 	case w.health.doubtful(now) || slices.Contains(t.failedOn, w.info.ID):
 		return doubtful
@@ -201,7 +201,7 @@
 		}
 	}
 	for at, candidates := range fitting {
-		if preference(at) == ordinary && t.stage.serves() {
+		if preference(at) == ordinary && t.stage.Serves() {
 			candidates = c.narrow(t, candidates, now)
 		}
 		if w := c.ask(t, candidates, now); w != nil {
@@ -257,7 +257,7 @@
 	spare := float64(w.info.Capacity.CPU)
 	for _, r := range w.runs.all() {
 		cpu := float64(r.step.Resources.CPU)
-		if r.step.LatencyTarget > 0 && !r.step.Fills {
+		if r.step.Serves() {
 			cpu *= r.servingUse()
 		}
 		spare -= cpu
--- a/internal/workflow/planner/pressure.go
+++ b/internal/workflow/planner/pressure.go
@@ -129,9 +129,9 @@
 			continue // no figure, a mixed one, or maybe the same as the last
 		}
 		s.figureAt = now
-		tried := c.pressure.triedAmong(used, s.step.Image)
+		trials := c.pressure.untriedAmong(used, s.step.Image)
 		c.pressure.learnTask(s, used, now)
-		c.tellTried(used, s.step.Image, tried)
+		c.tellTried(trials, s.step.Image)
 	}
 }
 
@@ -220,7 +220,7 @@
 		case r.task == nil || r.stopping:
 		case r.step.Fills:
 			filling = append(filling, r)
-		case r.step.LatencyTarget > 0:
+		case r.step.Serves():
 			serving = append(serving, r)
 		}
 	}
--- a/internal/workflow/planner/trial.go
+++ b/internal/workflow/planner/trial.go
@@ -16,23 +16,23 @@
 	return p.policy.Untried(p.pair(filling, serving))
 }
 
-// triedAmong counts the images in use that are known beside a serving one.
-func (p *pressure) triedAmong(used map[cottonlanding.Image]float64, serving cottonlanding.Image) int {
-	count := 0
+// untriedAmong returns the images in use that have to be tried beside a serving one.
+func (p *pressure) untriedAmong(used map[cottonlanding.Image]float64, serving cottonlanding.Image) []cottonlanding.Image {
+	var out []cottonlanding.Image
 	for filling := range used {
-		if !p.untried(filling, serving) {
-			count++
+		if p.untried(filling, serving) {
+			out = append(out, filling)
 		}
 	}
-	return count
+	return out
 }
 
-// tellTried logs what trials have shown if more pairs are known than before a figure.
-func (c *Cell) tellTried(used map[cottonlanding.Image]float64, serving cottonlanding.Image, before int) {
-	if c.pressure.triedAmong(used, serving) == before {
-		return
-	}
-	for filling := range used {
+// tellTried logs which trials a figure has ended, and what they have shown.
+func (c *Cell) tellTried(trials []cottonlanding.Image, serving cottonlanding.Image) {
+	for _, filling := range trials {
+		if c.pressure.untried(filling, serving) {
+			continue
+		}
 		pair := c.pressure.pair(filling, serving)
 		c.log.Info("images tried", "Filling", filling, "Serving", serving, "Weight", rounded(pair.Weight), "Doubt", rounded(pair.Doubt))
 	}
--- a/workflow.go
+++ b/workflow.go
@@ -82,6 +82,9 @@
 	return out
 }
 
+// Serves reports whether the step's tasks answer users of their own.
+func (s Step) Serves() bool { return s.LatencyTarget > 0 && !s.Fills }
+
 // Bounds of a workflow.
 const (
 	// MaxPayload is the longest payload, in bytes.
