--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -63,6 +63,8 @@
 	// Refer returns the cell that is to keep a new workflow, if it isn't this one, of
 	// which it gets what is left, and whether it has usable workers.
 	Refer func(workflow cottonlanding.Workflow, report planner.Report, usable bool) (cottonlanding.CellNumber, bool)
+	// Siblings returns the partitions of all other cells.
+	Siblings func() []cottonlanding.Partition
 	// Lost is called once when another owner was seen.
 	Lost func()
 }
@@ -217,6 +219,7 @@
 	d.mu.Unlock()
 	d.work.Go(d.sendOrders)
 	d.work.Go(d.tellAnswers)
+	d.work.Go(d.followSiblings)
 	ticker := time.NewTicker(tick.Duration())
 	defer ticker.Stop()
 	for {
--- a/internal/workflow/driver/orders_test.go
+++ b/internal/workflow/driver/orders_test.go
@@ -141,6 +141,7 @@
 		Queues:      func() cottonlanding.Queues { return queues },
 		ValidUntil:  func() cottonlanding.Millis { return clock.Now() + cottonlanding.Minute },
 		Refer:       noReferral,
+		Siblings:    noSiblings,
 		Lost:        func() { t.Error("the ownership was lost") },
 	}
 }
--- a/internal/workflow/driver/owner_test.go
+++ b/internal/workflow/driver/owner_test.go
@@ -81,6 +81,7 @@
 		Queues:      func() cottonlanding.Queues { return queues },
 		ValidUntil:  func() cottonlanding.Millis { return o.clock.Now() + cottonlanding.Minute },
 		Refer:       noReferral,
+		Siblings:    noSiblings,
 		Lost:        func() { t.Error("the ownership was lost") },
 	}, planner.Setup{
 		Partition: partition,
@@ -158,3 +159,6 @@
 func noReferral(cottonlanding.Workflow, planner.Report, bool) (cottonlanding.CellNumber, bool) {
 	return 0, false
 }
+
+// noSiblings says that there is one cell.
+func noSiblings() []cottonlanding.Partition { return nil }
--- /dev/null
+++ b/internal/workflow/driver/siblings.go
@@ -0,0 +1,38 @@
+package driver
+
+import (
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// siblingsPoll is how often is read what other cells have learnt of images, which they
+// write down as often.
+const siblingsPoll = 3 * cottonlanding.Second
+
+// followSiblings tells the cell what other cells have learnt, again and again. Of a cell
+// whose row can't be read nothing is known until the next time.
+func (d *Driver) followSiblings() {
+	for d.ctx.Err() == nil {
+		var rows []cottonlanding.Row
+		for _, partition := range d.deps.Siblings() {
+			learnt, err := d.read(planner.LearntKey(partition))
+			if err != nil {
+				continue // the holder tells of a lost table
+			}
+			rows = append(rows, learnt...)
+		}
+		d.shareLearnt(rows)
+		d.sleep(siblingsPoll)
+	}
+}
+
+func (d *Driver) shareLearnt(rows []cottonlanding.Row) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cell == nil || len(rows) == 0 {
+		return
+	}
+	if err := d.cell.ShareLearnt(rows); err != nil {
+		d.deps.Log.Warn("what other cells have learnt is left out", "Error", err)
+	}
+}
--- a/internal/workflow/gateway/seat.go
+++ b/internal/workflow/gateway/seat.go
@@ -89,10 +89,22 @@
 		Queues:      s.gateway.deps.Queues,
 		ValidUntil:  s.holder.ValidUntil,
 		Refer:       s.refer,
+		Siblings:    s.siblings,
 		Lost:        s.holder.Lose,
 	}, setup, s.gateway.settings.Planner, s.gateway.settings.Policy)
 }
 
+// siblings returns the partitions of all other cells.
+func (s *seat) siblings() []cottonlanding.Partition {
+	var out []cottonlanding.Partition
+	for _, other := range *s.gateway.seats.Load() {
+		if other != s {
+			out = append(out, other.partition)
+		}
+	}
+	return out
+}
+
 func (s *seat) endDriver() {
 	s.mu.Lock()
 	old := s.driver
--- a/internal/workflow/planner/bench_test.go
+++ b/internal/workflow/planner/bench_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"log/slog"
@@ -16,7 +17,9 @@
 // busyDay feeds a cell with more work than its workers can carry, as on the
 // heaviest days of the users' platform.
 type busyDay struct {
-	cell    *planner.Cell
+	cell *planner.Cell
+	// scale is how many times as many workers there are as on the usual day.
+	scale   int
 	random  *rand.Rand
 	now     cottonlanding.Millis
 	number  int
@@ -44,8 +47,12 @@
 	busyLooks   = 2 // a second and worker
 )
 
-func newBusyDay() *busyDay {
+func newBusyDay() *busyDay { return newBusyDayOf(busyWorkers) }
+
+// newBusyDayOf returns a day with as much work for each worker as newBusyDay.
+func newBusyDayOf(workers int) *busyDay {
 	d := &busyDay{
+		scale: workers / busyWorkers,
 		cell: planner.New(planner.Setup{Partition: "W", Epoch: 1},
 			planner.Timing{Lease: 6000, CutOffGrace: 2000, StopTimeout: 900, Retention: 2 * cottonlanding.Minute},
 			selector.Default().Planner, slog.New(slog.NewJSONHandler(io.Discard, nil))),
@@ -59,14 +66,14 @@
 		"Lasting": {Name: "Lasting", Service: "S", Attempts: 3, Stretch: 2.2, LatencyTarget: 2500},
 	}})
 	var infos []cottonlanding.WorkerInfo
-	for number := range busyWorkers {
-		id := cottonlanding.WorkerID(fmt.Sprintf("w%02d", number))
+	for number := range workers {
+		id := cottonlanding.WorkerID(fmt.Sprintf("w%04d", number))
 		d.workers = append(d.workers, &busyWorker{id: id})
 		infos = append(infos, cottonlanding.WorkerInfo{ID: id, Address: cottonlanding.Address(id), Service: "S", State: cottonlanding.Live,
 			Capacity: cottonlanding.Resources{CPU: 36000, Memory: 128 * cottonlanding.Gigabyte}})
 	}
 	d.cell.SetWorkers(infos, d.now)
-	for number := range 35 {
+	for number := range 35 * workers / busyWorkers {
 		d.submit("Lasting", 1, cottonlanding.Step{Tasks: 6, Resources: need(6400, 13), Lasting: true, LatencyTarget: 24,
 			Image: cottonlanding.Image(fmt.Sprintf("s%d", number%5)), Estimate: 320})
 	}
@@ -96,10 +103,10 @@
 	for turn := range turns {
 		d.now += busyTurn
 		if turn%9 == 0 {
-			d.submit("Short", 2, cottonlanding.Step{Tasks: 6, Resources: need(2300, 4), Estimate: 640})
+			d.submit("Short", 2, cottonlanding.Step{Tasks: 6 * max(d.scale, 1), Resources: need(2300, 4), Estimate: 640})
 		}
 		if turn%7 == 0 {
-			d.submit("Filling", 2, cottonlanding.Step{Tasks: 8, Resources: need(3500, 6), Estimate: 1700, Fills: true, Checkpoints: true,
+			d.submit("Filling", 2, cottonlanding.Step{Tasks: 8 * max(d.scale, 1), Resources: need(3500, 6), Estimate: 1700, Fills: true, Checkpoints: true,
 				Image: cottonlanding.Image(fmt.Sprintf("f%d", d.random.Intn(9)))})
 		}
 		for at, w := range d.workers {
@@ -145,7 +152,7 @@
 		d.cell.Committed(plan, cottonlanding.Version(d.now))
 	}
 	for _, order := range d.cell.Orders(d.now) {
-		at := slices.IndexFunc(d.workers, func(w *busyWorker) bool { return w.id == order.Worker.ID })
+		at, _ := slices.BinarySearchFunc(d.workers, order.Worker.ID, func(w *busyWorker, id cottonlanding.WorkerID) int { return cmp.Compare(w.id, id) })
 		d.workers[at].obey(order, d)
 		d.cell.Ordered(order, cottonlanding.Reading(d.now), nil, d.now)
 	}
@@ -171,3 +178,22 @@
 		d.second()
 	}
 }
+
+// BenchmarkCell times the decisions of one second for cells of several sizes, each with as
+// much work a worker: one cell of a deployment of 1,100 workers, one of five, of fifteen.
+func BenchmarkCell(b *testing.B) {
+	for _, workers := range []int{1104, 240, 96, 48} {
+		b.Run(fmt.Sprintf("Workers=%d", workers), func(b *testing.B) {
+			d := newBusyDayOf(workers)
+			for range 5 {
+				d.second()
+			}
+			starts := d.cell.Counts().Starts
+			b.ResetTimer()
+			for range b.N {
+				d.second()
+			}
+			b.ReportMetric(float64(d.cell.Counts().Starts-starts)/float64(b.N), "starts/s")
+		})
+	}
+}
--- a/internal/workflow/planner/learnt.go
+++ b/internal/workflow/planner/learnt.go
@@ -34,11 +34,12 @@
 	Pairs []pairRow
 }
 
-// pairRow holds what a filling image does to a serving one.
+// pairRow holds what a filling image does to a serving one. Its names are short: a
+// deployment has hundreds of pairs.
 type pairRow struct {
-	Image  cottonlanding.Image
-	Weight float64
-	Doubt  float64
+	Image  cottonlanding.Image `json:"I"`
+	Weight float64             `json:"W"`
+	Doubt  float64             `json:"D"`
 }
 
 // LearntKey returns the key of the row that holds what was learnt of images.
--- a/internal/workflow/planner/mix.go
+++ b/internal/workflow/planner/mix.go
@@ -78,5 +78,10 @@
 			out[image] = true
 		}
 	}
+	for _, pairs := range p.others {
+		for image := range pairs {
+			out[image] = true
+		}
+	}
 	return out
 }
--- a/internal/workflow/planner/pressure.go
+++ b/internal/workflow/planner/pressure.go
@@ -58,6 +58,8 @@
 	policy cottonlanding.DisturbancePolicy
 	// weights holds the estimate for each serving image.
 	weights map[cottonlanding.Image]*estimate
+	// others is what other cells have learnt.
+	others findings
 	// base is the shortest tail seen of an image.
 	base map[cottonlanding.Image]cottonlanding.Millis
 	// borne counts, by the images that serve together, the filling images that hardly
@@ -81,11 +83,27 @@
 
 // pair returns what is known of two images.
 func (p *pressure) pair(filling, serving cottonlanding.Image) cottonlanding.PairView {
-	known := p.weights[serving]
-	if known == nil {
-		return unknownPair
+	own := unknownPair
+	if known := p.weights[serving]; known != nil {
+		own = known.pair(filling)
+	}
+	return join(own, p.others[serving][filling])
+}
+
+// predict returns how much busier filling tasks make a serving image, and the variance of
+// that.
+func (p *pressure) predict(known *estimate, serving cottonlanding.Image, used map[cottonlanding.Image]float64) (added, variance float64) {
+	added, variance = known.predict(used)
+	if len(p.others[serving]) == 0 {
+		return added, variance
+	}
+	added, variance = 0, 0
+	for filling, share := range used {
+		pair := p.pair(filling, serving)
+		added += max(pair.Weight, 0) * share
+		variance += pair.Doubt * pair.Doubt * share * share
 	}
-	return known.pair(filling)
+	return added, variance
 }
 
 // busy returns how busy a tail shows its task to be, between 0 and mostBusy.
@@ -138,9 +156,7 @@
 // learnTask learns from one figure of a serving task what its step's own load is,
 // and what the filling tasks beside it add.
 func (p *pressure) learnTask(s *run, used map[cottonlanding.Image]float64, now cottonlanding.Millis) {
-	if base, known := p.base[s.step.Image]; !known || s.tail < base {
-		p.base[s.step.Image] = s.tail
-	}
+	p.noteBase(s.step.Image, s.tail)
 	known := p.weights[s.step.Image]
 	if known == nil {
 		known = newEstimate()
@@ -148,7 +164,7 @@
 	}
 	busy := p.busy(s, s.tail)
 	load := &s.task.stage.load
-	added, variance := known.predict(used)
+	added, variance := p.predict(known, s.step.Image, used)
 	if busy < saturated || load.known() && busy > load.ahead(now)+added {
 		if load.settled(now) && len(used) > 0 {
 			known.learn(used, busy-load.ahead(now))
--- a/internal/workflow/planner/pressure_test.go
+++ b/internal/workflow/planner/pressure_test.go
@@ -309,6 +309,7 @@
 	})
 	for _, image := range images {
 		weight, doubt := s.learnt("serve", image)
+		require.False(t, math.IsInf(doubt, 1), "nothing was learnt of %s", image)
 		require.Less(t, weight-2*doubt, 0.5, "it is sure that %s disturbs", image)
 	}
 }
@@ -319,8 +320,9 @@
 		Serving []struct {
 			Image cottonlanding.Image
 			Pairs []struct {
-				Image         cottonlanding.Image
-				Weight, Doubt float64
+				Image  cottonlanding.Image `json:"I"`
+				Weight float64             `json:"W"`
+				Doubt  float64             `json:"D"`
 			}
 		}
 	}
--- /dev/null
+++ b/internal/workflow/planner/shared_test.go
@@ -0,0 +1,49 @@
+package planner_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// TestCellsShareWhatTheyLearn plays two cells whose serving and filling images are the
+// same, as in a deployment where no cell sees each pair often enough by itself: what one
+// has learnt the other goes by from the start, and one that shares nothing does not.
+func TestCellsShareWhatTheyLearn(t *testing.T) {
+	weights := map[cottonlanding.Image]float64{"light": 0.1, "heavy": 6}
+	fill := cottonlanding.Step{Tasks: 2, Resources: cottonlanding.Resources{CPU: 3500}, Estimate: fillTime, Fills: true, Checkpoints: true}
+	serve := cottonlanding.Step{Tasks: 1, Resources: cottonlanding.Resources{CPU: 6000}, Lasting: true, Image: "serve", LatencyTarget: target}
+
+	first := share(t, weights)
+	first.submit("serve", "Serve", serve)
+	fill.Image = "heavy"
+	first.submit("heavy", "Fill", fill)
+	first.play(10*cottonlanding.Second, func(int) {})
+	fill.Image = "light"
+	first.submit("light", "Fill", fill)
+	first.play(20*cottonlanding.Second, func(int) {})
+	row := first.rows[planner.LearntKey(partition)]
+
+	worked := func(shared bool) float64 {
+		second := share(t, weights)
+		second.submit("serve", "Serve", serve)
+		second.play(5*cottonlanding.Second, func(int) {})
+		if shared {
+			require.NoError(t, second.cell.ShareLearnt([]cottonlanding.Row{row}))
+		}
+		fill.Image = "heavy"
+		second.submit("heavy", "Fill", fill)
+		second.play(1200, func(int) {})
+		return second.worked["heavy"]
+	}
+	require.Positive(t, worked(false), "it is tried")
+	require.Zero(t, worked(true), "it is known")
+}
+
+func TestUnreadableFindingsAreRefused(t *testing.T) {
+	s := share(t, nil)
+	require.Error(t, s.cell.ShareLearnt([]cottonlanding.Row{{Key: "Other:Learnt/Images", Value: []byte("{")}}))
+}
