--- a/internal/coordination/holder/holder.go
+++ b/internal/coordination/holder/holder.go
@@ -53,6 +53,8 @@
 	Asked func(Member)
 	// Owned counts the cells that this process owns.
 	Owned func() int
+	// Away reports whether the cell's workers are of another data centre than this member.
+	Away func() bool
 	// Report returns what an owner tells of its cell with each beat.
 	Report func() []byte
 }
--- a/internal/coordination/holder/holder_test.go
+++ b/internal/coordination/holder/holder_test.go
@@ -130,6 +130,7 @@
 		Changed: func(holder.View) {},
 		Asked:   func(to holder.Member) { asked <- to },
 		Owned:   func() int { return 0 },
+		Away:    func() bool { return false },
 		Report:  func() []byte { return nil },
 	}
 	return member{holder.New(deps, 0, self, timing), one, asked}
--- a/internal/coordination/holder/member.go
+++ b/internal/coordination/holder/member.go
@@ -65,6 +65,9 @@
 	// PerOwned is how much longer a member waits before it takes a cell for each one
 	// that it owns already, so that others go first.
 	PerOwned cottonlanding.Millis
+	// Away is how much longer a member waits that is in another data centre than the
+	// cell's workers, so that others go first.
+	Away cottonlanding.Millis
 	// Jitter is over how long the take-overs of members are spread, SlowJitter the
 	// same while the table is slow.
 	Jitter     cottonlanding.Millis
--- a/internal/coordination/holder/takeover.go
+++ b/internal/coordination/holder/takeover.go
@@ -73,9 +73,14 @@
 	return now-h.beatSince >= h.beatTTL+h.beatTTL/marginDivisor+h.handicap(view)+h.jitter(view)+h.burden()
 }
 
-// burden is how much longer this member waits because of the cells that it owns.
+// burden is how much longer this member waits because of the cells that it owns, and
+// because of where it is.
 func (h *Holder) burden() cottonlanding.Millis {
-	return cottonlanding.Millis(h.deps.Owned()) * h.timing.PerOwned
+	wait := cottonlanding.Millis(h.deps.Owned()) * h.timing.PerOwned
+	if h.deps.Away() {
+		wait += h.timing.Away
+	}
+	return wait
 }
 
 // handicap is how much longer this member waits than those that have as large a
--- /dev/null
+++ b/internal/policy/referrer/byimage.go
@@ -0,0 +1,64 @@
+package referrer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// reserve is the part of a cell's processors that serving workflows leave to others as
+// long as another cell has more: short tasks were seen to use a tenth of them.
+const reserve = 0.12
+
+// ByImage keeps the serving workflows of one image in one cell while that has room, and
+// refers all others by room. Its load is sixteen serving images whose tasks fill four
+// fifths of the workers, beside thirty filling ones: where a cell has all sixteen, bounds on
+// tasks a worker mix them on its workers, of which few then bear a filling image, and it
+// has 480 pairs to learn; where it has three, a hundred.
+type ByImage struct {
+	others ByRoom
+}
+
+// Refer implements cottonlanding.ReferralPolicy.
+func (b ByImage) Refer(workflow cottonlanding.Workflow, home cottonlanding.CellView, others []cottonlanding.CellView) (cottonlanding.CellNumber, bool) {
+	image, serves := servingImage(workflow)
+	if !serves {
+		return b.others.Refer(workflow, home, others)
+	}
+	all := append([]cottonlanding.CellView{home}, others...)
+	all = slices.DeleteFunc(all, func(view cottonlanding.CellView) bool { return !view.Usable })
+	if len(all) == 0 {
+		return 0, false
+	}
+	slices.SortFunc(all, func(a, b cottonlanding.CellView) int {
+		return cmp.Or(cmp.Compare(rank(image, b.Cell), rank(image, a.Cell)), cmp.Compare(a.Cell, b.Cell))
+	})
+	chosen := all[0]
+	for _, view := range all {
+		if view.Free >= reserve {
+			chosen = view
+			break
+		}
+		if view.Free > chosen.Free {
+			chosen = view
+		}
+	}
+	return chosen.Cell, chosen.Cell != home.Cell
+}
+
+// rank orders the cells for an image, the same way at every home.
+func rank(image cottonlanding.Image, cell cottonlanding.CellNumber) uint64 {
+	return xxhash.Sum64String(string(image) + "@" + cell.String())
+}
+
+func servingImage(workflow cottonlanding.Workflow) (cottonlanding.Image, bool) {
+	for _, step := range workflow.Steps {
+		if step.Serves() {
+			return step.Image, true
+		}
+	}
+	return "", false
+}
--- a/internal/policy/referrer/referrer.go
+++ b/internal/policy/referrer/referrer.go
@@ -7,12 +7,13 @@
 )
 
 // Fallback is the policy used when none is named.
-const Fallback = "byroom"
+const Fallback = "byimage"
 
 // Catalog holds the variants.
 var Catalog = cataloger.Catalog[cottonlanding.ReferralPolicy]{
-	"byroom": func() cottonlanding.ReferralPolicy { return ByRoom{} },
-	"never":  func() cottonlanding.ReferralPolicy { return Never{} },
+	"byimage": func() cottonlanding.ReferralPolicy { return ByImage{} },
+	"byroom":  func() cottonlanding.ReferralPolicy { return ByRoom{} },
+	"never":   func() cottonlanding.ReferralPolicy { return Never{} },
 }
 
 // Never leaves each workflow where it was handed in, the plain baseline.
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -36,6 +36,7 @@
 type Settings struct {
 	Self        holder.Member
 	PeerAddress cottonlanding.Address
+	DataCentre  cottonlanding.DataCentre
 	Holder      holder.Timing
 	Planner     planner.Timing
 	Policy      planner.Policy
--- a/internal/workflow/gateway/layout.go
+++ b/internal/workflow/gateway/layout.go
@@ -18,7 +18,7 @@
 	// settleFor is how long the number of workers must stand still before the first
 	// layout is made, settleWithin the longest wait for that: the number of cells stays,
 	// and workers that start together are listed over a second or two.
-	settleFor    = 900 * cottonlanding.Millis(1)
+	settleFor    = 600 * cottonlanding.Millis(1)
 	settleWithin = 5 * cottonlanding.Second
 	// layoutTimeout bounds a call of the table.
 	layoutTimeout = cottonlanding.Second
--- a/internal/workflow/gateway/seat.go
+++ b/internal/workflow/gateway/seat.go
@@ -31,6 +31,7 @@
 	driver      *driver.Driver
 	lastWaiting map[cottonlanding.QueueName]waitingCount
 	workers     cellWorkers
+	referred    []referredWork
 }
 
 func newSeat(g *Gateway, cell cottonlanding.CellNumber) *seat {
@@ -55,12 +56,24 @@
 			go s.yield(to)
 		},
 		Owned:  g.Owned,
+		Away:   s.away,
 		Report: s.report,
 	}, cell, g.settings.Self, g.settings.Holder)
 	close(ready)
 	return s
 }
 
+// away reports whether the cell's workers are of another data centre than this host. A
+// host of theirs goes on to renew their leases when the data centre is cut off.
+func (s *seat) away() bool {
+	layout := s.gateway.layout.Load()
+	if layout == nil {
+		return false
+	}
+	place, one := layout.Place(s.cell)
+	return one && place != s.gateway.settings.DataCentre
+}
+
 // mine reports whether this host believes to own the cell.
 func (s *seat) mine() bool { return s.holder.ValidUntil() > 0 }
 
--- a/internal/workflow/gateway/timing.go
+++ b/internal/workflow/gateway/timing.go
@@ -18,6 +18,9 @@
 	// holderPerOwned is how much longer a host waits for each cell that it owns already:
 	// as long as the jitter, so that hosts without a cell go first.
 	holderPerOwned = holderJitter
+	// holderAway is how much longer hosts of other data centres wait than those of the
+	// cell's workers: longer than the jitter, shorter than the handicap of small hosts.
+	holderAway = 300 * cottonlanding.Millis(1)
 	// slowHolderTTL and slowHolderTimeout are the same while the store takes slowCall
 	// and more: a slow store was seen to take two seconds for a write behind another.
 	slowHolderTTL     = 4 * cottonlanding.Second
@@ -56,6 +59,7 @@
 		Poll:         holderPoll,
 		RestPoll:     holderRestPoll,
 		PerOwned:     holderPerOwned,
+		Away:         holderAway,
 		Timeout:      holderTimeout,
 		SlowTimeout:  slowHolderTimeout,
 		Jitter:       holderJitter,
--- a/internal/workflow/partitioner/layout.go
+++ b/internal/workflow/partitioner/layout.go
@@ -15,6 +15,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -76,10 +77,30 @@
 	return out
 }
 
+// Place returns the data centre of a cell's racks, and false if they are of several or
+// there are none.
+func (l Layout) Place(cell cottonlanding.CellNumber) (cottonlanding.DataCentre, bool) {
+	place, found := "", false
+	for key, at := range l.Racks {
+		if at != cell {
+			continue
+		}
+		next, _, _ := strings.Cut(string(key), rackSeparator)
+		if found && next != place {
+			return "", false
+		}
+		place, found = next, true
+	}
+	return cottonlanding.DataCentre(place), found
+}
+
+// rackSeparator stands between the data centre and the rack in a key.
+const rackSeparator = "/"
+
 // keyOf returns the rack of a worker. Workers that name no rack share one in each data
 // centre.
 func keyOf(info cottonlanding.WorkerInfo) RackKey {
-	return RackKey(string(info.DataCentre) + "/" + string(info.Rack))
+	return RackKey(string(info.DataCentre) + rackSeparator + string(info.Rack))
 }
 
 // rack is one rack with its workers.
--- a/internal/workflow/partitioner/layout_test.go
+++ b/internal/workflow/partitioner/layout_test.go
@@ -55,8 +55,11 @@
 		layout := partitioner.Divide(one.workers, 250)
 		require.Equal(t, one.cells, layout.Cells)
 		for cell, at := range places(layout, one.workers) {
+			place, local := layout.Place(cottonlanding.CellNumber(cell))
+			require.Equal(t, len(at) == 1, local, "cell %d", cell)
 			if one.cells > 1 {
 				require.Len(t, at, 1, "cell %d", cell)
+				require.Contains(t, at, place)
 			}
 		}
 	}
--- a/internal/workflow/planner/report.go
+++ b/internal/workflow/planner/report.go
@@ -14,6 +14,8 @@
 	// Spare is the part that all runs are expected to leave unused, less what filling
 	// tasks wait for.
 	Spare float64
+	// Capacity is the processors of the usable workers.
+	Capacity cottonlanding.Millicores
 }
 
 // Report returns what is left of the cell, and false for one without usable workers.
@@ -55,7 +57,8 @@
 		}
 	}
 	return Report{
-		Free:  float64(free) / float64(capacity),
-		Spare: float64(spare) / float64(capacity),
+		Free:     float64(free) / float64(capacity),
+		Spare:    float64(spare) / float64(capacity),
+		Capacity: capacity,
 	}, true
 }
