--- a/internal/workflow/driver/calls.go
+++ b/internal/workflow/driver/calls.go
@@ -26,7 +26,7 @@
 	err := d.ask(ctx, func(cell *planner.Cell, now cottonlanding.Millis, done func(error)) {
 		if to, found := d.referral(cell, workflow, now); found {
 			referred = &ReferredError{to}
-			cell.Refer(workflow.ID, to, done)
+			cell.Refer(workflow.ID, to, now, done)
 			return
 		}
 		d.keep(cell, workflow, now, done)
@@ -71,7 +71,7 @@
 	err := d.ask(ctx, func(cell *planner.Cell, now cottonlanding.Millis, done func(error)) {
 		if to, found := cell.Referral(id); found {
 			referred = &ReferredError{to}
-			cell.Refer(id, to, done)
+			cell.Refer(id, to, now, done)
 			return
 		}
 		cell.Cancel(id, now, done)
@@ -155,6 +155,31 @@
 	return last.report, last.usable
 }
 
+// OldReferrals returns up to a number of workflows that were referred long ago, with the
+// cells that keep them.
+func (d *Driver) OldReferrals(most int) map[cottonlanding.WorkflowID]cottonlanding.CellNumber {
+	var out map[cottonlanding.WorkflowID]cottonlanding.CellNumber
+	if err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { out = cell.OldReferrals(most, now) }); err != nil {
+		return nil // it isn't owned at present
+	}
+	return out
+}
+
+// SettleReferral takes in whether the cell that keeps a referred workflow still knows it.
+func (d *Driver) SettleReferral(id cottonlanding.WorkflowID, known bool) {
+	err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) {
+		if known {
+			cell.KeepReferral(id, now)
+			return
+		}
+		cell.ForgetReferral(id)
+	})
+	if err != nil {
+		return // the next owner asks again
+	}
+	kick(d.decisionsDue)
+}
+
 // Counts returns what the cell has counted.
 func (d *Driver) Counts() planner.Counts {
 	d.mu.Lock()
--- a/internal/workflow/driver/load.go
+++ b/internal/workflow/driver/load.go
@@ -57,7 +57,7 @@
 	if err := cell.Load(specs, states, now); err != nil {
 		return nil, err
 	}
-	if err := cell.LoadReferrals(referrals); err != nil {
+	if err := cell.LoadReferrals(referrals, now); err != nil {
 		return nil, err
 	}
 	for _, row := range learnt {
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -70,6 +70,8 @@
 	// layout is nil before it is known.
 	layout     atomic.Pointer[partitioner.Layout]
 	layoutDuty *repeater.Repeater
+	// referralsDuty settles what became of referred workflows.
+	referralsDuty *repeater.Repeater
 
 	// The fields below belong to the layout's duty.
 	layoutVersion cottonlanding.Version
@@ -99,6 +101,7 @@
 	}
 	g.addSeats(1)
 	g.layoutDuty = repeater.New(layoutPoll, g.followLayout)
+	g.referralsDuty = repeater.New(referralsEvery, g.settleReferrals)
 	return g, nil
 }
 
@@ -264,6 +267,7 @@
 // Close ends the host's part.
 func (g *Gateway) Close(ctx context.Context) {
 	g.layoutDuty.Close()
+	g.referralsDuty.Close()
 	for _, s := range *g.seats.Load() {
 		s.close()
 	}
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -209,9 +209,7 @@
 			r.worker.ordersDue = true
 		}
 	}
-	for _, id := range plan.referred {
-		c.referrals[id].version = version
-	}
+	c.noteReferred(plan.referred, version)
 	if plan.learnt {
 		c.learntVersion = version
 	}
--- a/internal/workflow/planner/referral.go
+++ b/internal/workflow/planner/referral.go
@@ -25,6 +25,10 @@
 type referral struct {
 	cell    cottonlanding.CellNumber
 	version cottonlanding.Version
+	// since is when this owner came to know of it.
+	since cottonlanding.Millis
+	// gone says that the other cell has forgotten the workflow.
+	gone bool
 }
 
 // ReferralKey names the row that says where a workflow is kept.
@@ -54,7 +58,7 @@
 // CommittedReferral is Referral for those that are committed.
 func (c *Cell) CommittedReferral(id cottonlanding.WorkflowID) (cottonlanding.CellNumber, bool) {
 	known, found := c.referrals[id]
-	if !found || known.version == 0 {
+	if !found || known.version == 0 || known.gone {
 		return 0, false
 	}
 	return known.cell, true
@@ -62,14 +66,20 @@
 
 // Refer has another cell keep a workflow that this one doesn't know, unless it was
 // referred before. done is called once that is committed or can't be.
-func (c *Cell) Refer(id cottonlanding.WorkflowID, to cottonlanding.CellNumber, done func(error)) {
+func (c *Cell) Refer(id cottonlanding.WorkflowID, to cottonlanding.CellNumber, now cottonlanding.Millis, done func(error)) {
 	known, found := c.referrals[id]
 	switch {
 	case !found:
-		c.referrals[id] = &referral{cell: to}
+		c.referrals[id] = &referral{cell: to, since: now}
 		c.unwritten[id] = append(c.unwritten[id], done)
 		c.counts.Referred++
 		c.log.Info("workflow referred", "Workflow", id, "To", to, "Epoch", c.setup.Epoch)
+	case known.gone && c.unwritten[id] != nil:
+		known.gone = false // it is handed in once more
+		delete(c.unwritten, id)
+		done(nil)
+	case known.gone:
+		done(fmt.Errorf("the referral of workflow %s is being forgotten: %w", id, cottonlanding.ErrUnavailable))
 	case known.version > 0:
 		done(nil)
 	case c.unwritten[id] != nil:
@@ -85,25 +95,73 @@
 		if len(plan.Writes) >= writesPerPlan {
 			return
 		}
-		plan.Writes = append(plan.Writes, cottonlanding.Write{
-			Key:       ReferralKey(c.setup.Partition, id),
-			Value:     encode(referralRow{Cell: c.referrals[id].cell}),
-			Unchecked: true,
-		})
+		plan.Writes = append(plan.Writes, c.referralWrite(id))
 		plan.referred = append(plan.referred, id)
 		plan.replies = append(plan.replies, c.unwritten[id]...)
 		delete(c.unwritten, id)
 	}
 }
 
+func (c *Cell) referralWrite(id cottonlanding.WorkflowID) cottonlanding.Write {
+	known := c.referrals[id]
+	write := cottonlanding.Write{Key: ReferralKey(c.setup.Partition, id), Expect: known.version, Unchecked: true}
+	if known.gone {
+		write.Delete = true
+		return write
+	}
+	write.Value = encode(referralRow{Cell: known.cell})
+	return write
+}
+
+// noteReferred takes in that referrals were committed.
+func (c *Cell) noteReferred(ids []cottonlanding.WorkflowID, version cottonlanding.Version) {
+	for _, id := range ids {
+		if c.referrals[id].gone {
+			delete(c.referrals, id)
+			continue
+		}
+		c.referrals[id].version = version
+	}
+}
+
+// OldReferrals returns up to a number of workflows that were referred so long ago that the
+// other cell may have forgotten them, with those cells.
+func (c *Cell) OldReferrals(most int, now cottonlanding.Millis) map[cottonlanding.WorkflowID]cottonlanding.CellNumber {
+	out := make(map[cottonlanding.WorkflowID]cottonlanding.CellNumber)
+	for id, known := range c.referrals {
+		if len(out) < most && known.version > 0 && !known.gone && now-known.since > c.timing.Retention {
+			out[id] = known.cell
+		}
+	}
+	return out
+}
+
+// KeepReferral has a referral looked at again after the time for which final workflows are
+// kept: the other cell still knows the workflow.
+func (c *Cell) KeepReferral(id cottonlanding.WorkflowID, now cottonlanding.Millis) {
+	if known := c.referrals[id]; known != nil {
+		known.since = now
+	}
+}
+
+// ForgetReferral removes a referral whose workflow the other cell has forgotten.
+func (c *Cell) ForgetReferral(id cottonlanding.WorkflowID) {
+	known := c.referrals[id]
+	if known == nil || known.version == 0 || known.gone {
+		return
+	}
+	known.gone = true
+	c.unwritten[id] = []func(error){}
+}
+
 // LoadReferrals takes in the referrals of owners before.
-func (c *Cell) LoadReferrals(rows []cottonlanding.Row) error {
+func (c *Cell) LoadReferrals(rows []cottonlanding.Row, now cottonlanding.Millis) error {
 	for _, row := range rows {
 		cell, err := CellOf(row)
 		if err != nil {
 			return err
 		}
-		c.referrals[cottonlanding.WorkflowID(lastPart(row.Key))] = &referral{cell: cell, version: row.Version}
+		c.referrals[cottonlanding.WorkflowID(lastPart(row.Key))] = &referral{cell: cell, version: row.Version, since: now}
 	}
 	return nil
 }
