--- a/internal/coordination/holder/reader.go
+++ b/internal/coordination/holder/reader.go
@@ -23,6 +23,8 @@
 
 	mu   sync.Mutex
 	last reading
+	// tookAt is when a holder of this process last took a cell.
+	tookAt cottonlanding.Millis
 }
 
 // reading is what one call of the table returned.
@@ -54,3 +56,15 @@
 	r.last = next
 	return next
 }
+
+// mayTake reports whether a holder of this process may take a cell now: one at a time, so
+// that each knows of the others' and other processes have their turn.
+func (r *Reader) mayTake(now, gap cottonlanding.Millis) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tookAt > 0 && now-r.tookAt < gap {
+		return false
+	}
+	r.tookAt = now
+	return true
+}
--- a/internal/coordination/holder/takeover.go
+++ b/internal/coordination/holder/takeover.go
@@ -61,14 +61,24 @@
 	switch {
 	case leaving || mine:
 		return false
-	case view.Version == 0:
-		return now-h.beatSince >= h.firstWait()+h.jitter(view)+h.burden()
-	case view.Owner.ID == "":
-		return now-h.ownerSince >= h.handicap(view)+h.burden()
 	case view.Owner.Member == h.self:
 		return true // our own, but lapsed or never confirmed
 	case h.timing.Reclaim && h.self.Address != "" && view.Owner.Address == h.self.Address:
 		return true // an earlier life of this host
+	case !h.due(view, now):
+		return false
+	}
+	return h.deps.Reader.mayTake(now, 2*h.timing.PerOwned)
+}
+
+// due reports whether this member has waited for as long as it should before it takes the
+// cell over.
+func (h *Holder) due(view View, now cottonlanding.Millis) bool {
+	switch {
+	case view.Version == 0:
+		return now-h.beatSince >= h.firstWait()+h.jitter(view)+h.burden()
+	case view.Owner.ID == "":
+		return now-h.ownerSince >= h.handicap(view)+h.burden()
 	}
 	return now-h.beatSince >= h.beatTTL+h.beatTTL/marginDivisor+h.handicap(view)+h.jitter(view)+h.burden()
 }
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -70,6 +70,9 @@
 	// layout is nil before it is known.
 	layout     atomic.Pointer[partitioner.Layout]
 	layoutDuty *repeater.Repeater
+	// layoutAt is when the layout came to be known, ready that calls are answered since.
+	layoutAt atomic.Int64
+	ready    atomic.Bool
 	// referralsDuty settles what became of referred workflows.
 	referralsDuty *repeater.Repeater
 
@@ -124,11 +127,10 @@
 
 // home returns this host's part in the cell that knows of a workflow.
 func (g *Gateway) home(id cottonlanding.WorkflowID) (*seat, error) {
-	layout := g.layout.Load()
-	if layout == nil {
+	if !g.Ready() {
 		return nil, fmt.Errorf("the cells are not known yet: %w", cottonlanding.ErrUnavailable)
 	}
-	return g.seat(layout.Home(id)), nil
+	return g.seat(g.layout.Load().Home(id)), nil
 }
 
 // Owned counts the cells that this host owns.
@@ -158,9 +160,6 @@
 	return latest
 }
 
-// Ready reports whether the cells are known, so that calls can be answered.
-func (g *Gateway) Ready() bool { return g.layout.Load() != nil }
-
 // Slow reports whether the table is slow.
 func (g *Gateway) Slow() bool {
 	for _, s := range *g.seats.Load() {
--- a/internal/workflow/gateway/layout.go
+++ b/internal/workflow/gateway/layout.go
@@ -20,6 +20,11 @@
 	// and workers that start together are listed over a second or two.
 	settleFor    = 600 * cottonlanding.Millis(1)
 	settleWithin = 5 * cottonlanding.Second
+	// ownersWithin is how long a host waits for all cells to have had an owner before it
+	// takes calls, reportsWithin the same for their reports: what comes before those goes
+	// where there may be no room, and lasting workflows stay there.
+	ownersWithin  = 4 * cottonlanding.Second
+	reportsWithin = 2 * cottonlanding.Second
 	// layoutTimeout bounds a call of the table.
 	layoutTimeout = cottonlanding.Second
 )
@@ -80,6 +85,7 @@
 	}
 	g.layoutVersion = row.Version
 	g.addSeats(layout.Cells)
+	g.layoutAt.CompareAndSwap(0, int64(g.deps.Clock.Now()))
 	g.layout.Store(&layout)
 	g.deps.Log.Info("layout", "Version", row.Version, "Cells", layout.Cells, "Racks", len(layout.Racks))
 }
@@ -114,6 +120,37 @@
 	}
 }
 
+// Ready reports whether the cells are known and have owners, so that calls can be answered.
+func (g *Gateway) Ready() bool {
+	if g.ready.Load() {
+		return true
+	}
+	if g.layout.Load() == nil {
+		return false
+	}
+	waited := g.deps.Clock.Now() - cottonlanding.Millis(g.layoutAt.Load())
+	seats := *g.seats.Load()
+	for _, s := range seats {
+		if len(seats) > 1 && !s.begun(waited) {
+			return false
+		}
+	}
+	g.ready.Store(true)
+	g.deps.Log.Info("cells are known", "Cells", len(seats), "Waited", waited)
+	return true
+}
+
+// begun reports whether the cell has had an owner that told of its room, or was awaited for
+// long enough.
+func (s *seat) begun(waited cottonlanding.Millis) bool {
+	view := s.holder.View()
+	if view.Version == 0 {
+		return waited >= ownersWithin
+	}
+	_, told := s.left()
+	return told || waited >= reportsWithin
+}
+
 // cellWorkers holds the workers of a cell as of a list and a layout.
 type cellWorkers struct {
 	list   []cottonlanding.WorkerInfo
--- a/internal/workflow/gateway/room.go
+++ b/internal/workflow/gateway/room.go
@@ -9,8 +9,10 @@
 )
 
 // untoldFor is how long what was referred to a cell may be missing from what its owner
-// tells: until the next beat, and until that is read here.
-const untoldFor = 900 * cottonlanding.Millis(1)
+// tells: until it is committed here and there, told with a beat, and that is read here.
+// Two hundred lasting workflows came within a second; with less than that, cells took more
+// of them than they could hold, for good.
+const untoldFor = 2 * cottonlanding.Second
 
 // referredWork is what this host has referred to a cell of late.
 type referredWork struct {
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -210,6 +210,7 @@
 
 func (c *Cell) addJob(j *job) {
 	c.sequence++
+	c.reportedAt = 0 // it waits for room that others must not count on
 	j.sequence = c.sequence
 	c.jobs[j.ID] = j
 	if !j.state.Final() {
