--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -48,12 +48,30 @@
 	Tasks  []taskRow `json:",omitempty"`
 }
 
+// taskRow is written as a list of its fields without the zeros at its end: a row has
+// hundreds of tasks and is written with each change of one.
 type taskRow struct {
-	State      taskState                `json:"S,omitempty"`
-	Number     cottonlanding.RunNumber  `json:"N,omitempty"`
-	Failures   int                      `json:"F,omitempty"`
-	Worker     cottonlanding.WorkerID   `json:"W,omitempty"`
-	Checkpoint cottonlanding.Checkpoint `json:"C,omitempty"`
+	State      taskState
+	Number     cottonlanding.RunNumber
+	Worker     cottonlanding.WorkerID
+	Failures   int
+	Checkpoint cottonlanding.Checkpoint
+}
+
+// MarshalJSON writes the fields in order.
+func (r taskRow) MarshalJSON() ([]byte, error) {
+	fields := []any{r.State, r.Number, r.Worker, r.Failures, r.Checkpoint}
+	set := []bool{r.State != taskWaiting, r.Number > 0, r.Worker != "", r.Failures > 0, r.Checkpoint != ""}
+	for len(set) > 0 && !set[len(set)-1] {
+		set = set[:len(set)-1]
+	}
+	return json.Marshal(fields[:len(set)])
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote.
+func (r *taskRow) UnmarshalJSON(data []byte) error {
+	fields := []any{&r.State, &r.Number, &r.Worker, &r.Failures, &r.Checkpoint}
+	return json.Unmarshal(data, &fields)
 }
 
 // Plan is what one transaction commits.
@@ -161,7 +179,7 @@
 		return row
 	}
 	j.eachTask(func(t *task) {
-		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.failures, t.worker, t.checkpoint})
+		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.worker, t.failures, t.checkpoint})
 	})
 	return row
 }
