--- a/internal/policy/referrer/byimage.go
+++ b/internal/policy/referrer/byimage.go
@@ -9,9 +9,10 @@
 	"github.com/cottonlanding/cottonlanding"
 )
 
-// reserve is the part of a cell's processors that serving workflows leave to others as
-// long as another cell has more: short tasks were seen to use a tenth of them.
-const reserve = 0.12
+// reserve is the part of a cell's processors that serving workflows leave free as long as
+// another cell has as much. Short tasks use a tenth; and where serving tasks hold more than
+// four fifths, images meet on most workers: 0 to 57 of 220 at 63 to 80 %, 150 at 92 %.
+const reserve = 0.22
 
 // ByImage keeps the serving workflows of one image in one cell while that has room, and
 // refers all others by room. Its load is sixteen serving images whose tasks fill four
