--- a/internal/workflow/driver/calls.go
+++ b/internal/workflow/driver/calls.go
@@ -69,7 +69,7 @@
 func (d *Driver) Cancel(ctx context.Context, id cottonlanding.WorkflowID) error {
 	var referred *ReferredError
 	err := d.ask(ctx, func(cell *planner.Cell, now cottonlanding.Millis, done func(error)) {
-		if to, found := cell.Referral(id); found {
+		if to, found := cell.Referral(id); found && !cell.Pending(id) {
 			referred = &ReferredError{to}
 			cell.Refer(id, to, now, done)
 			return
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -63,6 +63,10 @@
 	// Refer returns the cell that is to keep a new workflow, if it isn't this one, of
 	// which it gets what is left, and whether it has usable workers.
 	Refer func(workflow cottonlanding.Workflow, report planner.Report, usable bool) (cottonlanding.CellNumber, bool)
+	// Deliver tells another cell of a workflow that it is to keep.
+	Deliver func(ctx context.Context, workflow cottonlanding.Workflow, to cottonlanding.CellNumber) error
+	// Home reports whether this cell is the home of a workflow.
+	Home func(cottonlanding.WorkflowID) bool
 	// Siblings returns the partitions of all other cells.
 	Siblings func() []cottonlanding.Partition
 	// Lost is called once when another owner was seen.
@@ -80,6 +84,8 @@
 	cell     *planner.Cell
 	attended map[cottonlanding.WorkerID]chan struct{}
 	listed   []cottonlanding.WorkerInfo
+	// movedAt is when it was last looked for workflows to hand over.
+	movedAt cottonlanding.Millis
 
 	committer *committer.Committer
 	outbox    *outbox
@@ -220,6 +226,7 @@
 	d.work.Go(d.sendOrders)
 	d.work.Go(d.tellAnswers)
 	d.work.Go(d.followSiblings)
+	d.work.Go(d.deliverAll)
 	ticker := time.NewTicker(tick.Duration())
 	defer ticker.Stop()
 	for {
@@ -258,6 +265,7 @@
 	d.mu.Lock()
 	d.refresh(now)
 	d.cell.Decide(now, time.Now().UnixMilli())
+	d.handOver(now)
 	plan := d.cell.Plan(now)
 	superseded := d.cell.Superseded()
 	report, usable := d.cell.Report(now)
--- a/internal/workflow/driver/orders_test.go
+++ b/internal/workflow/driver/orders_test.go
@@ -133,6 +133,8 @@
 		ValidUntil:  func() cottonlanding.Millis { return clock.Now() + cottonlanding.Minute },
 		Refer:       noReferral,
 		Siblings:    noSiblings,
+		Deliver:     noDelivery,
+		Home:        everyHome,
 		Lost:        func() { t.Error("the ownership was lost") },
 	}
 }
--- a/internal/workflow/driver/owner_test.go
+++ b/internal/workflow/driver/owner_test.go
@@ -77,6 +77,8 @@
 		ValidUntil:  func() cottonlanding.Millis { return o.clock.Now() + cottonlanding.Minute },
 		Refer:       noReferral,
 		Siblings:    noSiblings,
+		Deliver:     noDelivery,
+		Home:        everyHome,
 		Lost:        func() { t.Error("the ownership was lost") },
 	}, planner.Setup{
 		Partition: partition,
@@ -156,3 +158,9 @@
 
 // noSiblings says that there is one cell.
 func noSiblings() []cottonlanding.Partition { return nil }
+
+func noDelivery(context.Context, cottonlanding.Workflow, cottonlanding.CellNumber) error {
+	return cottonlanding.ErrUnavailable
+}
+
+func everyHome(cottonlanding.WorkflowID) bool { return true }
--- a/internal/workflow/gateway/asking.go
+++ b/internal/workflow/gateway/asking.go
@@ -188,7 +188,7 @@
 		return "", err
 	}
 	if len(rows) == 0 {
-		return "", s.readReferral(ctx, id)
+		return s.readReferral(ctx, id)
 	}
 	s.gateway.deps.Log.Info("state read from the table", "Workflow", id, "Cell", s.cell, "Version", rows[0].Version)
 	return planner.StateOf(rows[0])
@@ -196,17 +196,20 @@
 
 // readReferral reads where a workflow is kept that isn't in this cell. The error is a
 // ReferredError, or ErrNotFound if it is nowhere.
-func (s *seat) readReferral(ctx context.Context, id cottonlanding.WorkflowID) error {
+func (s *seat) readReferral(ctx context.Context, id cottonlanding.WorkflowID) (cottonlanding.WorkflowState, error) {
 	rows, err := s.gateway.deps.Table.Read(ctx, planner.ReferralKey(s.partition, id))
 	if err != nil {
-		return err
+		return "", err
 	}
 	if len(rows) == 0 {
-		return fmt.Errorf("workflow %s: %w", id, cottonlanding.ErrNotFound)
+		return "", fmt.Errorf("workflow %s: %w", id, cottonlanding.ErrNotFound)
 	}
-	to, err := planner.CellOf(rows[0])
+	to, pending, err := planner.ReferralOf(rows[0])
 	if err != nil {
-		return err
+		return "", err
+	}
+	if pending {
+		return cottonlanding.WorkflowPending, nil
 	}
-	return &driver.ReferredError{To: to}
+	return "", &driver.ReferredError{To: to}
 }
--- a/internal/workflow/gateway/gateway_test.go
+++ b/internal/workflow/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 
 	"log/slog"
 	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -26,12 +27,13 @@
 
 // deployment is three hosts on loopback, with one table and some workers.
 type deployment struct {
-	t       *testing.T
-	clock   cottonlanding.Clock
-	table   *switchedTable
-	runner  *runner.Runner
-	workers []cottonlanding.WorkerInfo
-	perCell int
+	t        *testing.T
+	clock    cottonlanding.Clock
+	table    *switchedTable
+	runner   *runner.Runner
+	workers  []cottonlanding.WorkerInfo
+	perCell  int
+	referral cottonlanding.ReferralPolicy
 	// lives counts the hosts that were started after others were killed.
 	lives int
 	hosts []*gateway.Gateway
@@ -88,11 +90,15 @@
 
 // deployCells starts hosts with workers in as many data centres as there are to be cells.
 func deployCells(t *testing.T, cells int) *deployment {
+	return deployWith(t, cells, selector.Default().Referral)
+}
+
+func deployWith(t *testing.T, cells int, referral cottonlanding.ReferralPolicy) *deployment {
 	const workersPerCell = 4
 	clock := cottonlanding.NewClock()
-	d := &deployment{t: t, clock: clock, table: &switchedTable{Table: keeper.New()}, perCell: workersPerCell}
+	d := &deployment{t: t, clock: clock, table: &switchedTable{Table: keeper.New()}, perCell: workersPerCell, referral: referral}
 	d.runner = runner.New(clock, func(key cottonlanding.RunKey) runner.Fate {
-		return runner.Fate{Lasts: 100, Forever: key.Task.Workflow == "lasting"}
+		return runner.Fate{Lasts: 100, Forever: strings.HasPrefix(string(key.Task.Workflow), "lasting")}
 	})
 	for number := range workersPerCell * cells {
 		id := cottonlanding.WorkerID(fmt.Sprintf("w%d", number))
@@ -136,7 +142,7 @@
 			PerOwned: 300, Jitter: 50},
 		Planner:        planner.Timing{Lease: 3000, CutOffGrace: 1000, StopTimeout: 300, Retention: cottonlanding.Minute},
 		Policy:         selector.Default().Planner,
-		Referral:       selector.Default().Referral,
+		Referral:       d.referral,
 		WorkersPerCell: d.perCell,
 	}, gateway.Dependencies{
 		Table:         d.table,
--- a/internal/workflow/gateway/seat.go
+++ b/internal/workflow/gateway/seat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 
@@ -102,11 +103,28 @@
 		Queues:      s.gateway.deps.Queues,
 		ValidUntil:  s.holder.ValidUntil,
 		Refer:       s.refer,
+		Deliver:     s.deliver,
+		Home:        s.isHome,
 		Siblings:    s.siblings,
 		Lost:        s.holder.Lose,
 	}, setup, s.gateway.settings.Planner, s.gateway.settings.Policy)
 }
 
+// deliver hands a workflow of this home in at the cell that is to keep it.
+func (s *seat) deliver(ctx context.Context, workflow cottonlanding.Workflow, to cottonlanding.CellNumber) error {
+	keeper := s.gateway.seat(to)
+	if keeper == nil {
+		return fmt.Errorf("cell %s isn't known here: %w", to, cottonlanding.ErrUnavailable)
+	}
+	return keeper.submit(ctx, workflow)
+}
+
+// isHome reports whether this cell is the home of a workflow.
+func (s *seat) isHome(id cottonlanding.WorkflowID) bool {
+	layout := s.gateway.layout.Load()
+	return layout != nil && layout.Home(id) == s.cell
+}
+
 // siblings returns the partitions of all other cells.
 func (s *seat) siblings() []cottonlanding.Partition {
 	var out []cottonlanding.Partition
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -97,6 +97,8 @@
 	Evicted int64
 	// Referred counts workflows that were referred to another cell.
 	Referred int64
+	// HandedOver counts workflows that waited and went to another cell.
+	HandedOver int64
 }
 
 // Add adds the counts of another cell.
@@ -110,6 +112,7 @@
 	c.Stuck += other.Stuck
 	c.Evicted += other.Evicted
 	c.Referred += other.Referred
+	c.HandedOver += other.HandedOver
 	if c.Ends == nil {
 		c.Ends = make(map[cottonlanding.EndKind]int64)
 	}
--- /dev/null
+++ b/internal/workflow/planner/handover.go
@@ -0,0 +1,85 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// A workflow of which nothing was ever sent may go to another cell: from its home, when
+// that has no room for it while others have. One transaction puts the whole workflow into
+// its referral and deletes its other rows; from then on nothing of it is started here. It
+// is told to the other cell again and again until that has it; only then callers are sent
+// there, and the referral becomes an ordinary one. Until then it counts as pending here.
+
+// moveAfter is how long a workflow waits before it is handed over: long enough for runs
+// that end to make room, and well below the three seconds in which it must begin.
+const moveAfter = 600 * cottonlanding.Millis(1)
+
+// Leavers returns up to a number of workflows that wait, of which nothing was ever placed.
+func (c *Cell) Leavers(most int, now cottonlanding.Millis) []cottonlanding.Workflow {
+	var out []cottonlanding.Workflow
+	for _, j := range c.order {
+		if len(out) < most && c.mayLeave(j, now) {
+			out = append(out, j.Workflow)
+		}
+	}
+	return out
+}
+
+func (c *Cell) mayLeave(j *job, now cottonlanding.Millis) bool {
+	waits := now-j.accepted >= moveAfter && !j.begun && !j.state.Final() && j.Schedule.Rounds == 0
+	return waits && j.committed && c.dirty[j.ID] == nil && (c.inFlight == nil || !c.inFlight.includes(j.ID))
+}
+
+// HandOver has another cell keep a workflow that Leavers has returned just now.
+func (c *Cell) HandOver(id cottonlanding.WorkflowID, to cottonlanding.CellNumber, now cottonlanding.Millis) {
+	j := c.jobs[id]
+	delete(c.jobs, id)
+	c.order = slices.DeleteFunc(c.order, func(other *job) bool { return other == j })
+	c.referrals[id] = &referral{cell: to, since: now, pending: &j.Workflow, left: true}
+	c.unwritten[id] = []func(error){}
+	c.reportedAt = 0
+	c.counts.HandedOver++
+	c.log.Info("workflow handed over", "Workflow", id, "To", to, "Waited", now-j.accepted, "Epoch", c.setup.Epoch)
+}
+
+// Handovers returns the workflows that other cells have to be told of.
+func (c *Cell) Handovers() map[cottonlanding.CellNumber][]cottonlanding.Workflow {
+	out := make(map[cottonlanding.CellNumber][]cottonlanding.Workflow)
+	for _, known := range c.referrals {
+		if known.pending != nil && known.version > 0 {
+			out[known.cell] = append(out[known.cell], *known.pending)
+		}
+	}
+	return out
+}
+
+// HandedOver takes in that the other cell has taken a workflow.
+func (c *Cell) HandedOver(id cottonlanding.WorkflowID, now cottonlanding.Millis) {
+	known := c.referrals[id]
+	if known == nil || known.pending == nil {
+		return
+	}
+	known.pending, known.since = nil, now
+	if c.unwritten[id] == nil {
+		c.unwritten[id] = []func(error){}
+	}
+}
+
+// Pending reports whether a workflow is on its way to another cell.
+func (c *Cell) Pending(id cottonlanding.WorkflowID) bool {
+	known := c.referrals[id]
+	return known != nil && known.pending != nil
+}
+
+// pendingIn counts the workflows of a queue that other cells have to be told of.
+func (c *Cell) pendingIn(queue cottonlanding.QueueName) int {
+	count := 0
+	for _, known := range c.referrals {
+		if known.pending != nil && known.pending.Queue == queue {
+			count++
+		}
+	}
+	return count
+}
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -240,6 +240,10 @@
 // Cancel cancels a workflow; done is called once that is committed. A final
 // workflow stays as it is. ErrNotFound means that there is none.
 func (c *Cell) Cancel(id cottonlanding.WorkflowID, now cottonlanding.Millis, done func(error)) {
+	if c.Pending(id) {
+		done(fmt.Errorf("workflow %s is being handed over: %w", id, cottonlanding.ErrUnavailable))
+		return
+	}
 	j := c.jobs[id]
 	if j == nil {
 		done(fmt.Errorf("workflow %s: %w", id, cottonlanding.ErrNotFound))
@@ -254,6 +258,9 @@
 
 // State returns the committed state of a workflow, and whether there is one.
 func (c *Cell) State(id cottonlanding.WorkflowID) (cottonlanding.WorkflowState, bool) {
+	if c.Pending(id) {
+		return cottonlanding.WorkflowPending, true
+	}
 	j := c.jobs[id]
 	if j == nil || !j.committed {
 		return "", false
@@ -269,7 +276,7 @@
 			count++
 		}
 	}
-	return count
+	return count + c.pendingIn(queue)
 }
 
 // end makes a workflow final and stops what it runs.
--- a/internal/workflow/planner/referral.go
+++ b/internal/workflow/planner/referral.go
@@ -19,6 +19,8 @@
 // referralRow says which cell keeps a workflow.
 type referralRow struct {
 	Cell cottonlanding.CellNumber
+	// Workflow is there until the other cell has surely taken it: see handover.go.
+	Workflow *cottonlanding.Workflow `json:",omitempty"`
 }
 
 // referral is a workflow that another cell keeps.
@@ -29,6 +31,10 @@
 	since cottonlanding.Millis
 	// gone says that the other cell has forgotten the workflow.
 	gone bool
+	// pending is a workflow that this cell had accepted, until the other one has it.
+	pending *cottonlanding.Workflow
+	// left says that its rows here are to be deleted with the next write.
+	left bool
 }
 
 // ReferralKey names the row that says where a workflow is kept.
@@ -36,13 +42,14 @@
 	return p.Key(referralPrefix + string(id))
 }
 
-// CellOf reads the cell from a referral's row.
-func CellOf(row cottonlanding.Row) (cottonlanding.CellNumber, error) {
+// ReferralOf reads from a referral's row which cell keeps the workflow, and whether that
+// has yet to be told of it.
+func ReferralOf(row cottonlanding.Row) (cell cottonlanding.CellNumber, pending bool, err error) {
 	var value referralRow
 	if err := json.Unmarshal(row.Value, &value); err != nil {
-		return 0, fmt.Errorf("row %s: %w", row.Key, err)
+		return 0, false, fmt.Errorf("row %s: %w", row.Key, err)
 	}
-	return value.Cell, nil
+	return value.Cell, value.Workflow != nil, nil
 }
 
 // Referral returns the cell that keeps a workflow, if it isn't this one. The referral may
@@ -58,7 +65,7 @@
 // CommittedReferral is Referral for those that are committed.
 func (c *Cell) CommittedReferral(id cottonlanding.WorkflowID) (cottonlanding.CellNumber, bool) {
 	known, found := c.referrals[id]
-	if !found || known.version == 0 || known.gone {
+	if !found || known.version == 0 || known.gone || known.pending != nil {
 		return 0, false
 	}
 	return known.cell, true
@@ -92,25 +99,35 @@
 // planReferrals adds referrals to a plan, as many as fit.
 func (c *Cell) planReferrals(plan *Plan) {
 	for _, id := range slices.Sorted(maps.Keys(c.unwritten)) {
-		if len(plan.Writes) >= writesPerPlan {
+		if len(plan.Writes)+writesPerReferral > writesPerPlan {
 			return
 		}
-		plan.Writes = append(plan.Writes, c.referralWrite(id))
+		plan.Writes = append(plan.Writes, c.referralWrites(id)...)
 		plan.referred = append(plan.referred, id)
 		plan.replies = append(plan.replies, c.unwritten[id]...)
 		delete(c.unwritten, id)
 	}
 }
 
-func (c *Cell) referralWrite(id cottonlanding.WorkflowID) cottonlanding.Write {
+// writesPerReferral is the most rows that one referral takes.
+const writesPerReferral = 3
+
+func (c *Cell) referralWrites(id cottonlanding.WorkflowID) []cottonlanding.Write {
 	known := c.referrals[id]
 	write := cottonlanding.Write{Key: ReferralKey(c.setup.Partition, id), Expect: known.version, Unchecked: true}
 	if known.gone {
 		write.Delete = true
-		return write
+		return []cottonlanding.Write{write}
+	}
+	write.Value = encode(referralRow{Cell: known.cell, Workflow: known.pending})
+	if !known.left {
+		return []cottonlanding.Write{write}
+	}
+	known.left = false
+	return []cottonlanding.Write{write,
+		{Key: SpecKey(c.setup.Partition, id), Delete: true, Unchecked: true},
+		{Key: StateKey(c.setup.Partition, id), Delete: true, Unchecked: true},
 	}
-	write.Value = encode(referralRow{Cell: known.cell})
-	return write
 }
 
 // noteReferred takes in that referrals were committed.
@@ -129,7 +146,7 @@
 func (c *Cell) OldReferrals(most int, now cottonlanding.Millis) map[cottonlanding.WorkflowID]cottonlanding.CellNumber {
 	out := make(map[cottonlanding.WorkflowID]cottonlanding.CellNumber)
 	for id, known := range c.referrals {
-		if len(out) < most && known.version > 0 && !known.gone && now-known.since > c.timing.Retention {
+		if len(out) < most && known.version > 0 && !known.gone && known.pending == nil && now-known.since > c.timing.Retention {
 			out[id] = known.cell
 		}
 	}
@@ -157,11 +174,11 @@
 // LoadReferrals takes in the referrals of owners before.
 func (c *Cell) LoadReferrals(rows []cottonlanding.Row, now cottonlanding.Millis) error {
 	for _, row := range rows {
-		cell, err := CellOf(row)
-		if err != nil {
-			return err
+		var value referralRow
+		if err := json.Unmarshal(row.Value, &value); err != nil {
+			return fmt.Errorf("row %s: %w", row.Key, err)
 		}
-		c.referrals[cottonlanding.WorkflowID(lastPart(row.Key))] = &referral{cell: cell, version: row.Version, since: now}
+		c.referrals[cottonlanding.WorkflowID(lastPart(row.Key))] = &referral{cell: value.Cell, version: row.Version, since: now, pending: value.Workflow}
 	}
 	return nil
 }
