--- a/internal/workflow/planner/keep_test.go
+++ b/internal/workflow/planner/keep_test.go
@@ -168,3 +168,21 @@
 		require.Equal(t, 4, w.runner.Lasting(), "the second has room on the worker that was kept for it")
 	})
 }
+
+// TestInterruptedTaskTakesItsRoomBack plays workers that are full of lasting tasks, beside
+// which short ones wait: the room of a lasting task whose run has failed is not given to
+// those, or it would have to wait for as long as they last.
+func TestInterruptedTaskTakesItsRoomBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSpreadWorld(t)
+		w.submit(failingLasting, "Urgent", lasting(10, 0, 2600)) // two tasks fail, after 0.9 and 1.7 s
+		w.play(cottonlanding.Second / 2)
+		require.Equal(t, 10, w.runner.Running())
+		for number := range 6 {
+			w.submit(cottonlanding.WorkflowID(fmt.Sprintf("slow%d", number)), "Urgent", short(2600))
+		}
+		w.play(4 * cottonlanding.Second)
+		require.Equal(t, 10, w.runner.Lasting())
+		require.Equal(t, 12, w.runner.Running(), "two short ones had room")
+	})
+}
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -112,6 +112,16 @@
 	return brokenClaim
 }
 
+// interruptedFor is for how long after the end of its run a lasting task goes before
+// others: some turns. Later its room is others', and it waits as they do until its claim is
+// strong.
+const interruptedFor = 500 * cottonlanding.Millis(1)
+
+// justInterrupted reports whether the run of a lasting task has ended just now.
+func (t *task) justInterrupted(now cottonlanding.Millis) bool {
+	return t.stage.Lasting && t.state == taskWaiting && t.number > 0 && now-t.since < interruptedFor
+}
+
 // compareTurns orders tasks by their claims, then by how long they wait.
 func compareTurns(a, b *task, now cottonlanding.Millis) int {
 	return cmp.Or(cmp.Compare(b.claim(now), a.claim(now)), cmp.Compare(a.since, b.since))
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -48,12 +48,12 @@
 	return j.lateness(now)
 }
 
-// missesTask reports whether a lasting task of the workflow was interrupted and has
-// waited for long since.
+// missesTask reports whether a lasting task of the workflow was interrupted just now, so
+// that the room of its run is still there, or has waited for long since.
 func (j *job) missesTask(now cottonlanding.Millis) bool {
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
-			if s.Lasting && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.claim(now) == brokenClaim }) {
+			if s.Lasting && slices.ContainsFunc(s.tasks, func(t *task) bool { return t.justInterrupted(now) || t.claim(now) == brokenClaim }) {
 				return true
 			}
 		}
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -26,6 +26,9 @@
 // than any room is kept.
 const slowLasts = 30 * cottonlanding.Second
 
+// failingLasting is a workflow of lasting tasks of which each fifth fails once.
+const failingLasting cottonlanding.WorkflowID = "lastingFails"
+
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
@@ -90,7 +93,9 @@
 		if strings.HasPrefix(string(key.Task.Workflow), "slow") {
 			lasts = slowLasts
 		}
-		return runner.Fate{Lasts: lasts, Fails: index%5 == 4 && key.Number == 1, Forever: key.Task.Workflow[0] == 'l'}
+		fails := index%5 == 4 && key.Number == 1
+		forever := key.Task.Workflow[0] == 'l' && !(fails && key.Task.Workflow == failingLasting)
+		return runner.Fate{Lasts: lasts, Fails: fails, Forever: forever}
 	})
 	for range 4 {
 		w.addWorker()
