--- /dev/null
+++ b/internal/workflow/planner/lives_test.go
@@ -0,0 +1,82 @@
+package planner_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// unlist takes a worker off the list; it runs on.
+func (w *world) unlist(number int) {
+	w.cell.SetWorkers(slices.Delete(slices.Clone(w.workers), number, number+1), w.now)
+}
+
+// TestWorkerThatLeavesWithoutAWord plays a worker whose entry goes while it serves on, as
+// some do that never say that they are leaving: it gets nothing new, what it runs goes on
+// and ends there, and no task runs twice.
+func TestWorkerThatLeavesWithoutAWord(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSpreadWorld(t)
+		w.submit("before", "Urgent", cottonlanding.Step{Tasks: 8, Estimate: 500,
+			Resources: cottonlanding.Resources{CPU: 3000, Memory: cottonlanding.Gigabyte}})
+		w.turn(turnSpan)
+		w.turn(turnSpan)
+		running := w.runner.Running()
+		require.Equal(t, 8, running)
+		w.unlist(0)
+		w.submit("after", "Urgent", cottonlanding.Step{Tasks: 6, Estimate: 500,
+			Resources: cottonlanding.Resources{CPU: 1000, Memory: cottonlanding.Gigabyte}})
+		for range 2 {
+			w.now += turnSpan
+			w.commit()
+			for _, order := range w.cell.Orders(w.now) {
+				require.NotEqual(t, w.workers[0].ID, order.Worker.ID, "%s of %s", order.Verb, order.Start.Task)
+				reading, err := w.send(order)
+				w.cell.Ordered(order, reading, err, w.now)
+			}
+			w.lookAll()
+		}
+		w.settle()
+		for _, id := range []cottonlanding.WorkflowID{"before", "after"} {
+			state, found := w.cell.State(id)
+			require.True(t, found)
+			require.Equal(t, cottonlanding.WorkflowSucceeded, state)
+		}
+		require.Empty(t, w.runner.Violations())
+	})
+}
+
+// TestLeavingWorkerServesOn plays a worker that has said that it is leaving: it gets
+// nothing new, and what ends by itself may do so there.
+func TestLeavingWorkerServesOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSpreadWorld(t)
+		w.submit("before", "Urgent", cottonlanding.Step{Tasks: 4, Estimate: 500,
+			Resources: cottonlanding.Resources{CPU: 3000, Memory: cottonlanding.Gigabyte}})
+		w.turn(turnSpan)
+		w.turn(turnSpan)
+		require.Equal(t, 4, w.runner.Running())
+		w.workers[0].State = cottonlanding.Leaving
+		w.cell.SetWorkers(slices.Clone(w.workers), w.now)
+		w.submit("after", "Urgent", cottonlanding.Step{Tasks: 6, Estimate: 500,
+			Resources: cottonlanding.Resources{CPU: 1000, Memory: cottonlanding.Gigabyte}})
+		for range 3 {
+			w.now += turnSpan
+			w.commit()
+			for _, order := range w.cell.Orders(w.now) {
+				require.NotEqual(t, w.workers[0].ID, order.Worker.ID, "%s of %s", order.Verb, order.Start.Task)
+				reading, err := w.send(order)
+				w.cell.Ordered(order, reading, err, w.now)
+			}
+			w.lookAll()
+		}
+		w.settle()
+		require.Empty(t, w.runner.Violations())
+		state, _ := w.cell.State("before")
+		require.Equal(t, cottonlanding.WorkflowSucceeded, state)
+	})
+}
