--- a/internal/workflow/planner/lives_test.go
+++ b/internal/workflow/planner/lives_test.go
@@ -15,6 +15,20 @@
 	w.cell.SetWorkers(slices.Delete(slices.Clone(w.workers), number, number+1), w.now)
 }
 
+// playWithout lets some turns pass in which a worker must get no order.
+func (w *world) playWithout(number int) {
+	for range 3 {
+		w.now += turnSpan
+		w.commit()
+		for _, order := range w.cell.Orders(w.now) {
+			require.NotEqual(w.t, w.workers[number].ID, order.Worker.ID, "%s of %s", order.Verb, order.Start.Task)
+			reading, err := w.send(order)
+			w.cell.Ordered(order, reading, err, w.now)
+		}
+		w.lookAll()
+	}
+}
+
 // TestWorkerThatLeavesWithoutAWord plays a worker whose entry goes while it serves on, as
 // some do that never say that they are leaving: it gets nothing new, what it runs goes on
 // and ends there, and no task runs twice.
@@ -30,16 +44,7 @@
 		w.unlist(0)
 		w.submit("after", "Urgent", cottonlanding.Step{Tasks: 6, Estimate: 500,
 			Resources: cottonlanding.Resources{CPU: 1000, Memory: cottonlanding.Gigabyte}})
-		for range 2 {
-			w.now += turnSpan
-			w.commit()
-			for _, order := range w.cell.Orders(w.now) {
-				require.NotEqual(t, w.workers[0].ID, order.Worker.ID, "%s of %s", order.Verb, order.Start.Task)
-				reading, err := w.send(order)
-				w.cell.Ordered(order, reading, err, w.now)
-			}
-			w.lookAll()
-		}
+		w.playWithout(0)
 		w.settle()
 		for _, id := range []cottonlanding.WorkflowID{"before", "after"} {
 			state, found := w.cell.State(id)
@@ -64,16 +69,7 @@
 		w.cell.SetWorkers(slices.Clone(w.workers), w.now)
 		w.submit("after", "Urgent", cottonlanding.Step{Tasks: 6, Estimate: 500,
 			Resources: cottonlanding.Resources{CPU: 1000, Memory: cottonlanding.Gigabyte}})
-		for range 3 {
-			w.now += turnSpan
-			w.commit()
-			for _, order := range w.cell.Orders(w.now) {
-				require.NotEqual(t, w.workers[0].ID, order.Worker.ID, "%s of %s", order.Verb, order.Start.Task)
-				reading, err := w.send(order)
-				w.cell.Ordered(order, reading, err, w.now)
-			}
-			w.lookAll()
-		}
+		w.playWithout(0)
 		w.settle()
 		require.Empty(t, w.runner.Violations())
 		state, _ := w.cell.State("before")
