Sight: which life of a worker an entry and an answer are of, and ends passed over

Logs could not tell a life from the next one under the same id, nor show that an end was passed over because of its number. A birth is read from entries and lists of runs; a line tells when a source names another life, and which ends were passed over. No decision reads it yet.

--- a/hostlist.go
+++ b/hostlist.go
@@ -13,7 +13,9 @@
 
 // WorkerInfo describes a worker as the host list gives it.
 type WorkerInfo struct {
-	ID         WorkerID
+	ID WorkerID
+	// Born is the birth of the life that the list tells of.
+	Born       Birth
 	Address    Address
 	DataCentre DataCentre
 	Rack       Rack
--- a/ids.go
+++ b/ids.go
@@ -31,6 +31,10 @@
 	CellNumber int
 	// Incarnation identifies one life of a worker; it changes with each restart.
 	Incarnation string
+	// Birth tells the lives of one worker apart: it is when a life began, as its own machine's
+	// clock showed it, in milliseconds since 1970. That clock may jump, so that of two births
+	// the smaller isn't the older one. Zero is unknown.
+	Birth int64
 	// Epoch counts the owners of a cell; a higher one supersedes all lower ones.
 	Epoch uint64
 	// Generation counts accepted configurations.
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -82,6 +82,8 @@
 	w.failed, w.asked = false, true
 	w.answered = now
 	w.changed()
+	c.tellBirth(w, "answer", w.born, report.Born)
+	w.born = report.Born
 	w.read(report.Reading, now)
 	c.noteEnds(w, report.Ended, now)
 	c.noteRunning(w, report, sentAt, now)
@@ -142,7 +144,7 @@
 		stopped := r.stopping && r.ruledOutAt > 0 && r.ruledOutAt < sentAt
 		gone := r.phase == started && r.ackedAt < sentAt
 		if stopped || gone {
-			c.log.Info("run gone", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Stopped", stopped)
+			c.log.Info("run gone", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Born", w.born, "Stopped", stopped)
 			c.vanish(r, now)
 		}
 	}
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -13,6 +13,7 @@
 
 // noteEnds takes in the ends that an answer of a worker lists.
 func (c *Cell) noteEnds(w *worker, ends []cottonlanding.RunEnd, now cottonlanding.Millis) {
+	c.tellPassedOver(w, ends)
 	for _, end := range ends {
 		c.noteEnd(w, end, now)
 	}
--- a/internal/workflow/planner/story.go
+++ b/internal/workflow/planner/story.go
@@ -80,3 +80,26 @@
 	}
 	c.log.Warn("worker lost", "Worker", w.info.ID, "Runs", lost, "SilentFor", silent, "LastAnswer", now-w.answered, "Why", why)
 }
+
+// tellBirth logs that a source names another life of a worker than it did before.
+func (c *Cell) tellBirth(w *worker, source string, before, born cottonlanding.Birth) {
+	if before == born || before == 0 {
+		return
+	}
+	c.log.Info("another life of a worker", "Worker", w.info.ID, "Source", source, "Before", before, "Born", born,
+		"Runs", w.runs.size(), "Noted", w.noted, "Reading", w.reading)
+}
+
+// tellPassedOver logs the ends of an answer that count as taken in before, if the worker was
+// told that it may forget them: it has none of those any more.
+func (c *Cell) tellPassedOver(w *worker, ends []cottonlanding.RunEnd) {
+	var passed []string
+	for _, end := range ends {
+		if end.Serial <= w.seen {
+			passed = append(passed, fmt.Sprintf("%d %s#%d %s", end.Serial, end.Task, end.Number, end.Kind))
+		}
+	}
+	if len(passed) > 0 {
+		c.log.Warn("ends passed over", "Worker", w.info.ID, "Born", w.born, "Ends", passed, "Noted", w.noted, "Seen", w.seen)
+	}
+}
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -136,6 +136,8 @@
 	failedSince cottonlanding.Millis
 	nextLook    cottonlanding.Millis
 
+	// born is the birth of the life that answered last.
+	born cottonlanding.Birth
 	// noted is the last end taken in, seen the last whose consequences are committed.
 	noted uint64
 	seen  uint64
@@ -190,8 +192,9 @@
 		w := c.workers[info.ID]
 		if w == nil {
 			w = c.addWorker(info, now)
-			c.log.Info("worker listed", "Worker", info.ID, "Address", info.Address, "State", info.State)
+			c.log.Info("worker listed", "Worker", info.ID, "Born", info.Born, "Address", info.Address, "State", info.State)
 		}
+		c.tellBirth(w, "list", w.info.Born, info.Born)
 		if w.info.State != info.State {
 			c.log.Info("worker changed", "Worker", info.ID, "From", w.info.State, "To", info.State)
 		}
--- a/run.go
+++ b/run.go
@@ -79,6 +79,8 @@
 
 // RunReport is a worker's answer to a look.
 type RunReport struct {
+	// Born is the birth of the life that answers.
+	Born    Birth
 	Reading Reading
 	Running []RunProgress
 	Ended   []RunEnd
