--- /dev/null
+++ b/internal/stand/runner/notes.go
@@ -0,0 +1,53 @@
+package runner
+
+import (
+	"fmt"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// notes watches that no task starts again after a run of it has ended as done and an owner
+// has taken note of that, by letting the worker forget it. It doesn't matter which came
+// first. An end between which and its note the worker's lease ran out doesn't count.
+type notes struct {
+	done map[cottonlanding.TaskRef]bool
+	// began is when the last run of each task did.
+	began map[cottonlanding.TaskRef]cottonlanding.Millis
+}
+
+// endedRun is an end with when it came.
+type endedRun struct {
+	cottonlanding.RunEnd
+	at cottonlanding.Millis
+}
+
+func newNotes() notes {
+	return notes{done: make(map[cottonlanding.TaskRef]bool), began: make(map[cottonlanding.TaskRef]cottonlanding.Millis)}
+}
+
+// forgetSeen forgets the ends up to a number.
+func (r *Runner) forgetSeen(w *worker, seen uint64) {
+	for len(w.ended) > 0 && w.ended[0].Serial <= seen {
+		r.noteTaken(w, w.ended[0])
+		w.ended = w.ended[1:]
+	}
+}
+
+// noteTaken notes that an owner has taken note of an end.
+func (r *Runner) noteTaken(w *worker, end endedRun) {
+	if end.Kind != cottonlanding.EndDone || w.lapsedAt > end.at {
+		return
+	}
+	r.notes.done[end.Task] = true
+	if r.notes.began[end.Task] > end.at {
+		r.violations = append(r.violations, fmt.Sprintf("%s has started again after run %d of it had ended as done, and that is noted", end.Task, end.Number))
+	}
+}
+
+// watchNoted notes a start of a task of which the end of a run as done was noted.
+func (r *Runner) watchNoted(key cottonlanding.RunKey) {
+	r.notes.began[key.Task] = r.clock.Now()
+	if r.notes.done[key.Task] {
+		r.violations = append(r.violations, fmt.Sprintf("run %d of %s starts although a run of it had ended as done, and that was noted", key.Number, key.Task))
+	}
+}
--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -49,10 +49,12 @@
 	// last of those that are allowed to happen.
 	crashes map[cottonlanding.TaskRef]int
 	after   map[cottonlanding.TaskRef]int
+	notes   notes
 }
 
 type worker struct {
 	id      cottonlanding.WorkerID
+	born    cottonlanding.Birth
 	address cottonlanding.Address
 	offset  cottonlanding.Millis
 	epoch   cottonlanding.Epoch
@@ -60,8 +62,10 @@
 	dark    bool
 	runs    map[cottonlanding.RunKey]*activeRun
 	ruled   map[cottonlanding.TaskRef]cottonlanding.RunNumber
-	ended   []cottonlanding.RunEnd
+	ended   []endedRun
 	serial  uint64
+	// lapsedAt is when the lease was last found to have run out.
+	lapsedAt cottonlanding.Millis
 }
 
 type activeRun struct {
@@ -77,6 +81,7 @@
 		workers: make(map[cottonlanding.WorkerID]*worker),
 		crashes: make(map[cottonlanding.TaskRef]int),
 		after:   make(map[cottonlanding.TaskRef]int),
+		notes:   newNotes(),
 	}
 }
 
@@ -90,8 +95,13 @@
 func (r *Runner) AddAt(id cottonlanding.WorkerID, address cottonlanding.Address, offset cottonlanding.Millis) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.workers[id] = &worker{
+	r.workers[id] = newWorker(id, address, offset, 0)
+}
+
+func newWorker(id cottonlanding.WorkerID, address cottonlanding.Address, offset cottonlanding.Millis, born cottonlanding.Birth) *worker {
+	return &worker{
 		id:      id,
+		born:    born,
 		address: address,
 		offset:  offset,
 		runs:    make(map[cottonlanding.RunKey]*activeRun),
@@ -214,6 +224,9 @@
 func (r *Runner) advance(w *worker) {
 	r.crashIfDue(w)
 	now := r.clock.Now()
+	if r.reading(w) >= w.lease {
+		w.lapsedAt = now
+	}
 	for key, run := range w.runs {
 		ends := run.began + run.fate.Lasts
 		over := !run.fate.Forever && now >= ends
@@ -234,7 +247,8 @@
 	delete(w.runs, key)
 	w.serial++
 	w.ruled[key.Task] = max(w.ruled[key.Task], key.Number)
-	w.ended = append(w.ended, cottonlanding.RunEnd{RunKey: key, Serial: w.serial, Kind: kind})
+	end := cottonlanding.RunEnd{RunKey: key, Serial: w.serial, Kind: kind}
+	w.ended = append(w.ended, endedRun{RunEnd: end, at: r.clock.Now()})
 }
 
 // reach returns a worker that answers calls of an epoch.
@@ -288,6 +302,7 @@
 	r.watchStart(start.RunKey)
 	r.starts++
 	r.watchCrashes(start.RunKey)
+	r.watchNoted(start.RunKey)
 	w.runs[start.RunKey] = &activeRun{began: r.clock.Now(), fate: r.fate(start.RunKey)}
 	return reading, nil
 }
@@ -340,11 +355,12 @@
 	if err != nil {
 		return cottonlanding.RunReport{}, err
 	}
+	r.forgetSeen(w, look.Seen)
 	w.lease = max(w.lease, look.LeaseUntil)
-	for len(w.ended) > 0 && w.ended[0].Serial <= look.Seen {
-		w.ended = w.ended[1:]
+	report := cottonlanding.RunReport{Born: w.born, Reading: r.reading(w)}
+	for _, end := range w.ended {
+		report.Ended = append(report.Ended, end.RunEnd)
 	}
-	report := cottonlanding.RunReport{Reading: r.reading(w), Ended: append([]cottonlanding.RunEnd(nil), w.ended...)}
 	for key, run := range w.runs {
 		report.Running = append(report.Running, cottonlanding.RunProgress{RunKey: key, Percent: r.percent(run)})
 	}
--- /dev/null
+++ b/internal/workflow/planner/rebirth_test.go
@@ -0,0 +1,101 @@
+package planner_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// firstBirth is the birth of the first life of every worker that is reborn.
+const firstBirth cottonlanding.Birth = 1_750_000_000_000
+
+// quick is a step of tasks that run for a fraction of a second.
+func quick(tasks int) cottonlanding.Step {
+	return cottonlanding.Step{Tasks: tasks, Estimate: 300, Resources: cottonlanding.Resources{CPU: 1000, Memory: cottonlanding.Gigabyte}}
+}
+
+// only is quick for tasks that only a worker with a label may run.
+func only(label cottonlanding.Label, tasks int) cottonlanding.Step {
+	step := quick(tasks)
+	step.Requires = label
+	return step
+}
+
+// rebirth crashes a worker, which is back at once under its id and address and has written its
+// entry, with another birth.
+func (w *world) rebirth(number int) {
+	info := &w.workers[number]
+	if info.Born == 0 {
+		info.Born = firstBirth
+	}
+	info.Born += 1000
+	w.runner.Rebirth(info.ID, info.Address, info.Born)
+}
+
+// relist tells the owner of the entries as they are by now.
+func (w *world) relist() {
+	w.workers = append([]cottonlanding.WorkerInfo(nil), w.workers...)
+	w.cell.SetWorkers(w.workers, w.now)
+}
+
+// bornWorld is a world whose workers tell their births, each with a label that is its id.
+func bornWorld(t require.TestingT) *world {
+	w := newSpreadWorld(t)
+	for at := range w.workers {
+		w.workers[at].Labels = []cottonlanding.Label{cottonlanding.Label(w.workers[at].ID)}
+		w.rebirth(at)
+	}
+	w.takeOver()
+	for range 3 {
+		w.turn(turnSpan)
+	}
+	return w
+}
+
+// On a day on which a third of the workers crashed and were back within a second under the id
+// they had, two tasks were started again 0.2 s after they had been done, on one such worker, 1.1 s
+// after its return. It came about in this way: the owner keeps the number of the last end that
+// it has taken in by the worker's id; the next life numbers its ends from 1 again; the
+// owner passed over all up to the number of the old life, took the runs that were missing from
+// the list for gone and started their tasks again; and the number in its next look told the
+// worker that the ends were noted. The cause is a count that belongs to one life, kept under
+// the name of all of them. This test proves it, with one owner and no fault but the crash.
+func TestTaskDoneInTheNextLifeIsNotStartedAgain(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("before", "Urgent", quick(20))
+	w.play(5 * cottonlanding.Second)
+	w.rebirth(0)
+	w.relist()
+	w.play(cottonlanding.Second)
+	w.submit("after", "Urgent", only("w1", 5))
+	w.play(5 * cottonlanding.Second)
+	require.Empty(t, w.runner.Violations())
+	state, _ := w.cell.State("after")
+	require.Equal(t, cottonlanding.WorkflowSucceeded, state)
+}
+
+// On another such day two tasks could run at the end of the day and didn't, with most of the
+// room free; beside them others were started ten times and more on the same worker, each
+// time just after they were found to be gone. It came about as above: each repeat adds one end
+// to the list, so that a task is repeated until the numbers of the new life have caught up with
+// those of the old one, which takes minutes where little else is left to run. This test
+// proves that one cause suffices for both: a task which only one worker may run isn't done within
+// the time that its 40 predecessors took together.
+func TestTaskOnAWorkerThatIsBackIsDone(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("before", "Urgent", only("w1", 40))
+	w.play(30 * cottonlanding.Second)
+	state, _ := w.cell.State("before")
+	require.Equal(t, cottonlanding.WorkflowSucceeded, state)
+	w.rebirth(0)
+	w.relist()
+	w.play(cottonlanding.Second)
+	before := w.runner.Starts()
+	w.submit("after", "Urgent", only("w1", 1))
+	w.play(10 * cottonlanding.Second)
+	state, _ = w.cell.State("after")
+	require.Equal(t, cottonlanding.WorkflowSucceeded, state, "after %d starts", w.runner.Starts()-before)
+	require.Equal(t, 1, w.runner.Starts()-before)
+}
