Tests of each rule on lives; readings are compared with a slack of 3 ms

Readings are whole milliseconds: without slack a start sent some milliseconds after a look could cast doubt on a sound worker.

--- a/internal/workflow/planner/life.go
+++ b/internal/workflow/planner/life.go
@@ -21,6 +21,9 @@
 // life it is in. It isn't zero, so that a silent worker takes no place among prompt looks.
 const doubtfulWait = 50 * cottonlanding.Millis(1)
 
+// readingSlack covers that readings and our own clock are whole milliseconds, each rounded down.
+const readingSlack cottonlanding.Reading = 3
+
 // birthsKept is how many earlier lives of a worker are known, so that their entries, read late,
 // aren't taken for news.
 const birthsKept = 4
@@ -61,7 +64,7 @@
 		return
 	}
 	passed := sentAt - w.readAt
-	if reading < w.reading+cottonlanding.Reading(passed-passed/driftDivisor) {
+	if reading+readingSlack < w.reading+cottonlanding.Reading(passed-passed/driftDivisor) {
 		w.unsure = true
 	}
 }
--- /dev/null
+++ b/internal/workflow/planner/life_test.go
@@ -0,0 +1,290 @@
+package planner_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// requireState checks the state of a workflow.
+func (w *world) requireState(id cottonlanding.WorkflowID, want cottonlanding.WorkflowState) {
+	state, found := w.cell.State(id)
+	require.True(w.t, found, "workflow %s", id)
+	require.Equal(w.t, want, state, "workflow %s", id)
+}
+
+// TestCrashCountsWhenItsWorkerIsBackAtOnce: a worker that is back under its id within one look
+// was never silent. A task that crashes it is given up all the same, and an innocent one isn't.
+func TestCrashCountsWhenItsWorkerIsBackAtOnce(t *testing.T) {
+	w := bornWorld(t)
+	w.culprits, w.crashAfter = map[cottonlanding.TaskRef]bool{first("culprit"): true}, promptCrash
+	w.submit("culprit", "Urgent", quick(1))
+	w.submit("innocent", "Urgent", quick(4))
+	for range 400 {
+		w.turn(turnSpan)
+		for _, id := range w.runner.TakeCrashed() {
+			for at, info := range w.workers {
+				if info.ID == id {
+					w.rebirth(at)
+				}
+			}
+		}
+		w.relist()
+	}
+	require.Empty(t, w.runner.Violations())
+	w.requireState("culprit", cottonlanding.WorkflowFailed)
+	w.requireState("innocent", cottonlanding.WorkflowSucceeded)
+}
+
+// TestLifeThatEndedDoesNotBarItsWorker: another worker answered at a worker's address, so that
+// its life is over while its entry stands. Once it is back under its id, with another birth or at
+// another address, it is used again.
+func TestLifeThatEndedDoesNotBarItsWorker(t *testing.T) {
+	for name, back := range map[string]func(*cottonlanding.WorkerInfo){
+		"another birth":                        func(info *cottonlanding.WorkerInfo) { info.Born += 1000 },
+		"another address":                      func(info *cottonlanding.WorkerInfo) { info.Address = "elsewhere" },
+		"another address, its birth not known": func(info *cottonlanding.WorkerInfo) { info.Address, info.Born = "elsewhere", 0 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := bornWorld(t)
+			next, found := w.cell.NextLook("w1", w.now)
+			require.True(t, found)
+			w.cell.LookFailed(next, cottonlanding.ErrOtherLife, w.now)
+			w.relist()
+			_, found = w.cell.NextLook("w1", w.now)
+			require.False(t, found, "its entry stands for a while")
+			info := &w.workers[0]
+			back(info)
+			w.runner.Rebirth(info.ID, info.Address, info.Born)
+			w.relist()
+			w.submit("after", "Urgent", only("w1", 1))
+			w.play(3 * cottonlanding.Second)
+			w.requireState("after", cottonlanding.WorkflowSucceeded)
+			require.Empty(t, w.runner.Violations())
+		})
+	}
+}
+
+// TestAnswerOfAnEarlierLifeBarsNobody: an order that was under way to a life is answered by another
+// worker at its old address, after the next life is known elsewhere.
+func TestAnswerOfAnEarlierLifeBarsNobody(t *testing.T) {
+	w := bornWorld(t)
+	next, _ := w.cell.NextLook("w1", w.now)
+	info := &w.workers[0]
+	info.Born, info.Address = info.Born+1000, "elsewhere"
+	w.runner.Rebirth(info.ID, info.Address, info.Born)
+	w.relist()
+	w.lookAll()
+	w.cell.LookFailed(next, cottonlanding.ErrOtherLife, w.now)
+	_, found := w.cell.NextLook("w1", w.now)
+	require.True(t, found)
+}
+
+// TestLeaseOfTheNextLifeIsWaitedFor: a start that was reckoned by the clock of a life reaches the
+// next one, whose clock is far behind, as a lease of the longest span that it takes. When the
+// worker falls silent then, its run isn't given up before that has passed.
+func TestLeaseOfTheNextLifeIsWaitedFor(t *testing.T) {
+	w := bornWorld(t)
+	longest := w.timing.Lease + 4*cottonlanding.Second
+	w.timing.LongestLease = longest
+	w.runner.CutLeases(longest)
+	w.takeOver()
+	w.play(3 * cottonlanding.Second)
+	w.submit("slow", "Urgent", quick(4))
+	w.commit()
+	for at := range w.workers {
+		w.rebirth(at)
+	}
+	w.orders(func() string { return "" })
+	w.relist()
+	w.lookAll()
+	for _, info := range w.workers {
+		w.runner.Dark(info.ID, true)
+	}
+	w.addWorker()
+	w.relist()
+	w.play(longest + 3*cottonlanding.Second)
+	require.Empty(t, w.runner.Violations())
+	w.play(3 * cottonlanding.Second)
+	require.Greater(t, w.runner.Starts(), 4, "runs of silent workers are given up in the end")
+}
+
+// TestLateStartMeetsTheNextLife: a start without an answer is carried out by the next life, seconds
+// after its owner knows of that one. The task waits until that life has ruled the run out.
+func TestLateStartMeetsTheNextLife(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("once", "Urgent", quick(1))
+	w.commit()
+	w.orders(func() string { return "late" })
+	require.Len(t, w.late, 1)
+	for at := range w.workers {
+		w.rebirth(at)
+	}
+	w.lookAll()
+	w.relist()
+	w.commit()
+	require.Zero(t, w.runner.Starts(), "the task waits")
+	_, _ = w.send(w.late[0])
+	w.late = nil
+	w.play(3 * cottonlanding.Second)
+	require.Empty(t, w.runner.Violations())
+	w.requireState("once", cottonlanding.WorkflowSucceeded)
+}
+
+// TestStopThatAnEarlierLifeTook: the answer to a stop comes when the next life is known, which has
+// taken none. It is told again, because a start may still come.
+func TestStopThatAnEarlierLifeTook(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("once", "Urgent", only("w1", 1))
+	w.commit()
+	w.orders(func() string { return "late" })
+	w.cell.Cancel("once", w.now, func(error) {})
+	w.commit()
+	stops := w.cell.Orders(w.now)
+	require.Len(t, stops, 1)
+	reading, err := w.send(stops[0])
+	require.NoError(t, err)
+	w.rebirth(0)
+	w.lookAll()
+	w.cell.Ordered(stops[0], reading, err, w.now)
+	again := w.cell.Orders(w.now)
+	require.Len(t, again, 1)
+	require.Equal(t, planner.VerbStop, again[0].Verb)
+	require.Equal(t, w.workers[0].Life(), again[0].Worker.Life)
+}
+
+// TestNextOwnerMeetsAnotherLifeThanInTheRow: the worker of a committed run has crashed and is back
+// while the owner changes. The run counts as lost with the life in its row, and the task runs
+// again under another number.
+func TestNextOwnerMeetsAnotherLifeThanInTheRow(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("slow", "Urgent", only("w1", 1))
+	w.decide(turnSpan)
+	w.commit()
+	require.True(t, w.runner.Runs(first("slow")))
+	w.rebirth(0)
+	w.takeOver()
+	w.lookAll()
+	require.Equal(t, int64(1), w.cell.Counts().Lost)
+	w.play(cottonlanding.Second)
+	require.True(t, w.runner.Runs(first("slow")))
+	require.Equal(t, 2, w.runner.Starts())
+	require.Empty(t, w.runner.Violations())
+}
+
+// TestEntriesOnlyCastDoubt: an entry of an earlier life that is read late ends nothing, one of a life
+// that hasn't answered yet doesn't either, and a worker gets no new task until its entry is of
+// the life that answers: it may be of another kind.
+func TestEntriesOnlyCastDoubt(t *testing.T) {
+	w := bornWorld(t)
+	earlier := w.workers[0]
+	w.rebirth(0)
+	w.lookAll() // the answer comes before the entry
+	present := w.workers[0]
+	w.workers[0] = earlier
+	w.relist()
+	w.submit("slow", "Urgent", only("w1", 1))
+	w.play(cottonlanding.Second)
+	require.Zero(t, w.runner.Starts(), "the entry is of the life before")
+	w.workers[0] = present
+	w.relist()
+	w.play(cottonlanding.Second)
+	require.Equal(t, 1, w.runner.Starts())
+	w.workers[0] = earlier
+	w.relist()
+	w.submit("more", "Urgent", only("w1", 1))
+	w.play(2 * cottonlanding.Second)
+	w.requireState("more", cottonlanding.WorkflowSucceeded)
+	w.workers[0].Born += 500 // of a life between, read late
+	w.relist()
+	w.play(cottonlanding.Second)
+	require.True(t, w.runner.Runs(first("slow")))
+	require.Equal(t, 2, w.runner.Starts(), "the life that answers goes on")
+	require.Empty(t, w.runner.Violations())
+}
+
+// TestLifeWithoutABirth: where workers tell no births, a clock that has gone back tells of
+// another life.
+func TestLifeWithoutABirth(t *testing.T) {
+	w := newSpreadWorld(t)
+	w.play(cottonlanding.Second)
+	w.submit("before", "Urgent", quick(20))
+	w.play(5 * cottonlanding.Second)
+	for _, info := range w.workers {
+		w.runner.Rebirth(info.ID, info.Address, 0)
+	}
+	w.submit("after", "Urgent", quick(8))
+	w.play(10 * cottonlanding.Second)
+	require.Empty(t, w.runner.Violations())
+	w.requireState("after", cottonlanding.WorkflowSucceeded)
+}
+
+// TestLookInDoubtOnlyAsks: after a look without an answer the next one carries neither a number of
+// an end nor a lease, since another life may take it.
+func TestLookInDoubtOnlyAsks(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("before", "Urgent", only("w1", 3))
+	w.play(2 * cottonlanding.Second)
+	w.submit("slow", "Urgent", only("w1", 1))
+	w.play(cottonlanding.Second)
+	next, _ := w.cell.NextLook("w1", w.now)
+	require.Positive(t, next.Look.LeaseUntil)
+	w.cell.LookFailed(next, cottonlanding.ErrAmbiguous, w.now)
+	w.now += cottonlanding.Second
+	next, _ = w.cell.NextLook("w1", w.now)
+	require.Zero(t, next.Look.Seen)
+	require.Zero(t, next.Look.LeaseUntil)
+	report, err := w.runner.Look(context.Background(), next.Worker, next.Look)
+	require.NoError(t, err)
+	w.cell.Looked(next, report, w.now, w.now)
+	next, _ = w.cell.NextLook("w1", w.now)
+	require.Positive(t, next.Look.LeaseUntil)
+}
+
+// TestNumberOfAnEndIsToldOnce: once a worker has been told which ends it may forget, the number
+// is not told again. A life that nobody has heard of yet would forget its own by it.
+func TestNumberOfAnEndIsToldOnce(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("before", "Urgent", only("w1", 1))
+	var told []uint64
+	for range 60 {
+		w.decide(turnSpan)
+		next, _ := w.cell.NextLook("w1", w.now)
+		if next.Look.Seen > 0 {
+			told = append(told, next.Look.Seen)
+		}
+		w.lookAll()
+	}
+	require.Equal(t, []uint64{1}, told)
+}
+
+// TestClockThatWentBackCastsDoubt: a worker crashes and is back between two looks, and the next life
+// answers a start. Its clock shows that, before a look tells it to forget ends by the numbers
+// of the life before. A clock that goes on casts none.
+func TestClockThatWentBackCastsDoubt(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("before", "Urgent", only("w1", 1))
+	w.play(cottonlanding.Second)
+	w.submit("slow", "Urgent", only("w1", 1))
+	w.decide(turnSpan)
+	w.submit("short", "Urgent", only("w1", 1))
+	for range 5 {
+		w.decide(turnSpan)
+	}
+	next, _ := w.cell.NextLook("w1", w.now)
+	require.Positive(t, next.Look.LeaseUntil, "no doubt while the clock goes on")
+	w.look("w1", true) // lists the end of the short one
+	w.commit()
+	w.rebirth(0)
+	w.submit("after", "Urgent", only("w1", 1))
+	w.decide(turnSpan)
+	next, _ = w.cell.NextLook("w1", w.now)
+	require.Zero(t, next.Look.Seen)
+	w.play(2 * cottonlanding.Second)
+	w.requireState("after", cottonlanding.WorkflowSucceeded)
+	require.Empty(t, w.runner.Violations())
+}
