Search: all interleavings of crashes, late and lost orders, entries and owners

Two workers that come back under their ids, two owners, two tasks, sixteen steps, played by breadth with the real planner: nothing runs twice, nothing waits for ever, no run is left, no clock is believed to be ahead.

What it found in the mend, each with a test of its own now: - w2 reborn, commit, orders lost, looks, w2 reborn: a run that was to be ruled out counted as lost with each life, and an innocent task was given up. - commit, leases end, orders, w2 reborn, runs end, orders, commit, looks: a start to a silent worker carries a lease that has passed by the known life's clock and lasts by the next one's; its run was given up at once and went on. Starts wait until the worker answers; a clock that went back extends what is waited for.

--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -186,16 +186,17 @@
 }
 
 // chargeable reports whether the loss of the run counts for its task: it isn't done, nor its
-// workflow over.
+// workflow over, and the run has not been lost with an earlier life already.
 func (r *run) chargeable() bool {
 	t := r.task
-	return t != nil && t.run == r && t.state != taskDone && !t.job.state.Final()
+	return t != nil && t.run == r && !r.charged && t.state != taskDone && !t.job.state.Final()
 }
 
 // charge counts a loss against a run's task, and returns the view with its record. Only a
 // lease that ran out may prove to have been a cut.
 func (c *Cell) charge(r *run, why loss, suspect cottonlanding.SuspectView) cottonlanding.SuspectView {
 	t := r.task
+	r.charged = true
 	t.crashes.Losses++
 	if suspect.Suspect {
 		t.crashes.Crashes++
--- /dev/null
+++ b/internal/workflow/planner/export_test.go
@@ -0,0 +1,45 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// Fingerprint describes what the cell believes of its workers and tasks, without instants: two
+// cells with the same one go on alike.
+func (c *Cell) Fingerprint(now cottonlanding.Millis) string {
+	var out strings.Builder
+	for _, w := range c.sortedWorkers() {
+		fmt.Fprintln(&out, w.info.ID, w.info.Born, w.born, w.listed, w.unsure, w.unanswered, w.failed, w.asked, w.noted, w.seen, w.forgotten,
+			w.reading > 0, w.reachable(now), w.bound > now, w.nextLook > now, w.blockedUntil > now, w.health.suspectUntil > now)
+		for _, r := range w.runs.all() {
+			fmt.Fprintln(&out, r.RunKey, r.phase, r.born, r.ordered, r.doubtful, r.stopping, r.stopAcked > 0, r.ruledOutAt > 0, r.stopOrdered,
+				r.nextTry > now, r.nextStop > now, r.ackedAt == now, r.task != nil)
+		}
+	}
+	ids := make([]cottonlanding.WorkflowID, 0, len(c.jobs))
+	for id := range c.jobs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		j := c.jobs[id]
+		j.eachTask(func(t *task) {
+			fmt.Fprintln(&out, t.ref, j.state, j.shown, t.state, t.number, t.life, t.crashes, t.run != nil)
+		})
+	}
+	fmt.Fprintln(&out, len(c.dirty), c.superseded, len(c.ended))
+	return out.String()
+}
+
+// Readings returns what the cell knows of the clock of each life that has answered.
+func (c *Cell) Readings() map[cottonlanding.Life]cottonlanding.Reading {
+	out := make(map[cottonlanding.Life]cottonlanding.Reading)
+	for _, w := range c.sortedWorkers() {
+		out[w.life()] = w.reading
+	}
+	return out
+}
--- a/internal/workflow/planner/life.go
+++ b/internal/workflow/planner/life.go
@@ -57,16 +57,15 @@
 	w.changed()
 }
 
-// doubtReading casts doubt on a worker's life if its clock has not gone on as a steady one does,
-// since an answer to a look that came before the order was sent.
-func (w *worker) doubtReading(reading cottonlanding.Reading, sentAt cottonlanding.Millis) {
+// wentBack reports whether a worker's clock has not gone on as a steady one does since its last
+// answer to a look, if an order was sent later: another life has taken the order, with a lease
+// that is cut to the longest.
+func (w *worker) wentBack(reading cottonlanding.Reading, sentAt cottonlanding.Millis) bool {
 	if reading == 0 || w.reading == 0 || sentAt < w.readAt {
-		return
+		return false
 	}
 	passed := sentAt - w.readAt
-	if reading+readingSlack < w.reading+cottonlanding.Reading(passed-passed/driftDivisor) {
-		w.unsure = true
-	}
+	return reading+readingSlack < w.reading+cottonlanding.Reading(passed-passed/driftDivisor)
 }
 
 // isOther reports whether an answer is of another life than those before. Without births a
--- a/internal/workflow/planner/life_test.go
+++ b/internal/workflow/planner/life_test.go
@@ -40,6 +40,42 @@
 	w.requireState("innocent", cottonlanding.WorkflowSucceeded)
 }
 
+// TestRunIsChargedOnce: a start that never reached its worker is ruled out in the next life, which ends
+// before that. One run has one loss, however many lives end meanwhile, and doesn't convict an
+// innocent task.
+func TestRunIsChargedOnce(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("innocent", "Urgent", only("w1", 1))
+	w.commit()
+	w.orders(func() string { return "lost" })
+	for range 3 {
+		w.rebirth(0)
+		w.lookAll()
+	}
+	w.relist()
+	w.play(3 * cottonlanding.Second)
+	w.requireState("innocent", cottonlanding.WorkflowSucceeded)
+	require.Empty(t, w.runner.Violations())
+}
+
+// TestNoStartToAWorkerThatIsSilent: the lease of a start to a silent worker has passed by the clock
+// of the life that was known, and lasts for long by that of the next one. Its run would be given
+// up at once, and go on.
+func TestNoStartToAWorkerThatIsSilent(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("slow", "Urgent", only("w1", 1))
+	w.commit()
+	w.now += 2 * w.timing.Lease
+	require.Empty(t, w.cell.Orders(w.now))
+	w.rebirth(0)
+	require.Empty(t, w.cell.Orders(w.now))
+	w.lookAll()
+	w.relist()
+	w.play(cottonlanding.Second)
+	require.True(t, w.runner.Runs(first("slow")))
+	require.Empty(t, w.runner.Violations())
+}
+
 // TestLifeThatEndedDoesNotBarItsWorker: another worker answered at a worker's address, so that
 // its life is over while its entry stands. Once it is back under its id, with another birth or at
 // another address, it is used again.
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -121,6 +121,9 @@
 		return order, c.stopDue(w, r, now)
 	case r.ordered || now < r.nextTry || w.reading == 0:
 		return Order{}, false
+	case r.phase < started && !w.reachable(now):
+		// A lease that has passed by this life's clock may be valid by the next one's.
+		return Order{}, false
 	case r.phase == cleared || r.phase == sent:
 		order.Verb = VerbStart
 		order.Start.Payload = r.task.job.Payload
@@ -144,7 +147,7 @@
 	}
 	same := order.worker == w
 	if same {
-		w.noteAnswer(order, reading, err, now)
+		c.noteAnswer(w, order, reading, err, now)
 	}
 	w.ordersDue = true
 	r := w.runs.get(order.Start.RunKey)
@@ -178,11 +181,14 @@
 
 // noteAnswer takes in what the answer to an order tells of the worker's life. Orders don't
 // name a birth: one without an answer may have been taken by another life.
-func (w *worker) noteAnswer(order Order, reading cottonlanding.Reading, err error, now cottonlanding.Millis) {
+func (c *Cell) noteAnswer(w *worker, order Order, reading cottonlanding.Reading, err error, now cottonlanding.Millis) {
 	if errors.Is(err, cottonlanding.ErrAmbiguous) {
 		w.unanswered = true
 	}
-	w.doubtReading(reading, order.SentAt)
+	if w.wentBack(reading, order.SentAt) {
+		w.unsure = true
+		w.bound = max(w.bound, now+stretched(c.timing.LongestLease))
+	}
 	w.read(reading, now)
 }
 
--- /dev/null
+++ b/internal/workflow/planner/search_test.go
@@ -0,0 +1,264 @@
+package planner_test
+
+import (
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/policy/selector"
+)
+
+// The search plays all interleavings of what can happen to two workers, two owners and two tasks,
+// up to a number of steps, with the real planner. States that look alike are explored once.
+//
+//	go test ./internal/workflow/planner -run TestSearch -search.depth 9 -search.within 10m
+
+var (
+	searchDepth  = flag.Int("search.depth", 5, "how many steps TestSearchOfLives plays at most")
+	searchWithin = flag.Duration("search.within", time.Minute, "when it ends even if it has not played them all")
+)
+
+// searchStep is one thing that can happen.
+type searchStep struct {
+	name string
+	do   func(*searchWorld)
+	// may reports whether the step can happen; nil is always.
+	may func(*searchWorld) bool
+}
+
+// searchWorld is a world with the bounds of the search.
+type searchWorld struct {
+	*world
+	rebirths, owners, waits, silences int
+}
+
+func (s *searchWorld) sendAll(fault string) { s.orders(func() string { return fault }) }
+
+func (s *searchWorld) lookAllUnanswered() {
+	for _, info := range s.workers {
+		s.look(info.ID, false)
+	}
+}
+
+const (
+	mostRebirths = 2
+	mostOwners   = 2
+	mostWaits    = 1
+	mostLate     = 2
+	mostSilences = 1
+)
+
+var searchSteps = []searchStep{
+	{name: "commit", do: func(s *searchWorld) { s.commit() }},
+	{name: "orders", do: func(s *searchWorld) { s.sendAll("") }},
+	{name: "orders lost", do: func(s *searchWorld) { s.sendAll("lost") }},
+	{name: "orders unanswered", do: func(s *searchWorld) { s.sendAll("unanswered") }},
+	{name: "orders late", do: func(s *searchWorld) { s.sendAll("late") }, may: func(s *searchWorld) bool { return len(s.late) < mostLate }},
+	{name: "late order", do: func(s *searchWorld) {
+		_, _ = s.send(s.late[0])
+		s.late = s.late[1:]
+	}, may: func(s *searchWorld) bool { return len(s.late) > 0 }},
+	{name: "looks", do: func(s *searchWorld) { s.lookAll() }},
+	{name: "looks unanswered", do: func(s *searchWorld) { s.lookAllUnanswered() }},
+	{name: "w1 reborn", do: func(s *searchWorld) { s.searchRebirth(0) }, may: func(s *searchWorld) bool { return s.rebirths < mostRebirths }},
+	{name: "w2 reborn", do: func(s *searchWorld) { s.searchRebirth(1) }, may: func(s *searchWorld) bool { return s.rebirths < mostRebirths }},
+	{name: "w2 silent", do: func(s *searchWorld) { s.darken(true) }, may: func(s *searchWorld) bool { return s.silences < mostSilences }},
+	{name: "w2 answers", do: func(s *searchWorld) { s.darken(false) }, may: func(s *searchWorld) bool { return s.silences > 0 }},
+	{name: "entries", do: func(s *searchWorld) { s.relist() }},
+	{name: "runs end", do: func(s *searchWorld) { s.now += 300 }},
+	{name: "leases end", do: func(s *searchWorld) {
+		s.now += s.timing.LongestLease + 2*cottonlanding.Second
+		s.waits++
+	}, may: func(s *searchWorld) bool { return s.waits < mostWaits }},
+	{name: "next owner", do: func(s *searchWorld) {
+		s.owners++
+		s.takeOver()
+	}, may: func(s *searchWorld) bool { return s.owners < mostOwners }},
+}
+
+// darken makes the second worker silent while it runs on, or ends that.
+func (s *searchWorld) darken(dark bool) {
+	if dark {
+		s.silences++
+	}
+	s.runner.Dark(s.workers[1].ID, dark)
+}
+
+func (s *searchWorld) searchRebirth(number int) {
+	s.rebirths++
+	s.rebirth(number)
+	s.dropStale()
+}
+
+// newSearchWorld returns two workers that have done one task each, and two tasks that are handed in.
+func newSearchWorld(t require.TestingT) *searchWorld {
+	// Fair blame would give up a task whose worker crashes by itself just after each start.
+	set, err := selector.New(selector.Names{"ShortPlacement": "spread", "LastingPlacement": "spread", "Blame": "count"})
+	require.NoError(t, err)
+	w := newWorldOf(t, set.Planner)
+	w.workers = w.workers[:2]
+	w.timing.LongestLease = w.timing.Lease + 4*cottonlanding.Second
+	w.runner.CutLeases(w.timing.LongestLease)
+	for at := range w.workers {
+		w.rebirth(at)
+	}
+	w.takeOver()
+	w.submit("before", "Urgent", quick(2))
+	w.play(2 * cottonlanding.Second)
+	w.submit("once", "Urgent", quick(2))
+	return &searchWorld{world: w}
+}
+
+// play plays a path, each step 10 ms after the one before.
+func (s *searchWorld) playPath(path []byte) {
+	for _, at := range path {
+		s.now += 10
+		searchSteps[at].do(s)
+	}
+}
+
+func (s *searchWorld) fingerprint() uint64 {
+	sum := fnv.New64a()
+	_, _ = fmt.Fprintln(sum, s.cell.Fingerprint(s.now), s.runner.Fingerprint(), s.epoch, s.rebirths, s.owners, s.waits, s.silences)
+	for _, info := range s.workers {
+		_, _ = fmt.Fprintln(sum, info.Born)
+	}
+	for _, order := range s.late {
+		_, _ = fmt.Fprintln(sum, order.Verb, order.Worker.Life, order.Start.RunKey, order.Start.Epoch)
+	}
+	return sum.Sum64()
+}
+
+// broken returns what must not be true in a state, or "".
+func (s *searchWorld) broken() string {
+	if violations := s.runner.Violations(); len(violations) > 0 {
+		return violations[0]
+	}
+	for life, believed := range s.cell.Readings() {
+		if present, reading := s.runner.Reading(life.Worker); present == life && believed > reading {
+			return fmt.Sprintf("the clock of %v shows %d and is believed to show %d", life, reading, believed)
+		}
+	}
+	return ""
+}
+
+// unsettled lets all go well and returns what has not come to its end.
+func (s *searchWorld) unsettled() string {
+	s.relist()
+	s.darken(false)
+	for _, order := range s.late {
+		_, _ = s.send(order)
+	}
+	s.late = nil
+	for range 100 {
+		s.turn(200)
+	}
+	if broken := s.broken(); broken != "" {
+		return broken
+	}
+	for id := range s.accepted {
+		if state, _ := s.cell.State(id); state != cottonlanding.WorkflowSucceeded {
+			return fmt.Sprintf("%s is %q 20 s after the last trouble", id, state)
+		}
+	}
+	if running := s.runner.Running(); running > 0 {
+		return fmt.Sprintf("%d runs are left", running)
+	}
+	return ""
+}
+
+// search explores by breadth, so that the first fault has the shortest path.
+type search struct {
+	t     *testing.T
+	until time.Time
+
+	mu     sync.Mutex
+	seen   map[uint64]bool
+	next   [][]byte
+	faults map[string][]byte
+}
+
+// visit plays a path with one more step, and keeps it if its state is new.
+func (s *search) visit(path []byte, step int) {
+	w := newSearchWorld(s.t)
+	w.playPath(path)
+	if may := searchSteps[step].may; may != nil && !may(w) {
+		return
+	}
+	path = append(append([]byte(nil), path...), byte(step))
+	w.playPath(path[len(path)-1:])
+	print := w.fingerprint()
+	s.mu.Lock()
+	known := s.seen[print]
+	s.seen[print] = true
+	s.mu.Unlock()
+	if known {
+		return
+	}
+	fault := w.broken()
+	if fault == "" {
+		fault = w.unsettled()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if fault == "" {
+		s.next = append(s.next, path)
+		return
+	}
+	if s.faults[fault] == nil {
+		s.faults[fault] = path
+	}
+}
+
+// deepen plays one more step after each of the paths.
+func (s *search) deepen(paths [][]byte) {
+	work := make(chan []byte)
+	var workers sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		workers.Go(func() {
+			for path := range work {
+				for step := range searchSteps {
+					s.visit(path, step)
+				}
+			}
+		})
+	}
+	for _, path := range paths {
+		if time.Now().After(s.until) {
+			break
+		}
+		work <- path
+	}
+	close(work)
+	workers.Wait()
+}
+
+// TestSearchOfLives: in every state that workers which crash and come back under their ids, late,
+// lost and unanswered orders and looks, entries and a change of owner lead to within a number
+// of steps, no task runs twice or is done twice, none waits for ever, no run is left, and no
+// clock is believed to be ahead of itself.
+func TestSearchOfLives(t *testing.T) {
+	s := &search{t: t, until: time.Now().Add(*searchWithin), seen: make(map[uint64]bool), faults: make(map[string][]byte)}
+	paths := [][]byte{nil}
+	for depth := 1; depth <= *searchDepth && len(s.faults) == 0; depth++ {
+		s.next = nil
+		s.deepen(paths)
+		paths = s.next
+		t.Logf("depth %d: %d states, %d of them new; in time: %t", depth, len(s.seen), len(paths), time.Now().Before(s.until))
+	}
+	for fault, path := range s.faults {
+		names := make([]string, len(path))
+		for at, step := range path {
+			names[at] = searchSteps[step].name
+		}
+		t.Errorf("%s: %s", fault, strings.Join(names, ", "))
+	}
+}
