--- a/internal/workflow/planner/life_test.go
+++ b/internal/workflow/planner/life_test.go
@@ -122,8 +122,15 @@
 
 // TestLeaseOfTheNextLifeIsWaitedFor: a start that was reckoned by the clock of a life reaches the
 // next one, whose clock is far behind, as a lease of the longest span that it takes. When the
-// worker falls silent then, its run isn't given up before that has passed.
+// worker falls silent then, its run isn't given up before that has passed, whether a look has shown
+// the next life or only the clock in the answer to the start.
 func TestLeaseOfTheNextLifeIsWaitedFor(t *testing.T) {
+	for name, looks := range map[string]bool{"a look has shown it": true, "only a clock": false} {
+		t.Run(name, func(t *testing.T) { playLeaseOfTheNextLife(t, looks) })
+	}
+}
+
+func playLeaseOfTheNextLife(t *testing.T, looks bool) {
 	w := bornWorld(t)
 	longest := w.timing.Lease + 4*cottonlanding.Second
 	w.timing.LongestLease = longest
@@ -137,7 +144,9 @@
 	}
 	w.orders(func() string { return "" })
 	w.relist()
-	w.lookAll()
+	if looks {
+		w.lookAll()
+	}
 	for _, info := range w.workers {
 		w.runner.Dark(info.ID, true)
 	}
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -216,9 +216,7 @@
 func fitsIn(free cottonlanding.Resources) bool { return cottonlanding.Resources{}.Fits(free) }
 
 // firstToGo orders the kinds of tasks by how easily they give way.
-func firstToGo(k kind) int {
-	return map[kind]int{fillingTask: 0, shortTask: 1, lastingTask: 2}[k]
-}
+func firstToGo(k kind) int { return slices.Index([]kind{fillingTask, shortTask, lastingTask}, k) }
 
 // lapse ends the runs on workers whose lease surely ran out. A new owner first asks
 // each of them: what it ran may have ended well before that, and must not be run again.
