Crashes at once speak for each other; entries without births are still taken in

Cause: workers that crash together and are back before a look fails were never silent, so that each crash looked like a single one: an innocent workflow of 32 tasks was given up after three waves (test red without the change). An entry without a birth counted as one of an earlier life once a clock had told of another (test red without the change).

--- a/internal/workflow/planner/life.go
+++ b/internal/workflow/planner/life.go
@@ -47,7 +47,7 @@
 // describe takes in a worker's entry. One of an earlier life was read late and tells nothing;
 // one of a life that nobody has heard of says that there may be another one by now.
 func (w *worker) describe(info cottonlanding.WorkerInfo) {
-	if slices.Contains(w.before, info.Born) {
+	if info.Born != 0 && slices.Contains(w.before, info.Born) {
 		return
 	}
 	if info.Born.IsOtherThan(w.born) {
@@ -96,6 +96,9 @@
 // succeed puts another life in a worker's place. The runs of the one before go with it, to be
 // settled.
 func (c *Cell) succeed(before *worker, born cottonlanding.Birth, now cottonlanding.Millis) *worker {
+	if !before.failed {
+		c.noteSilent(before, now) // it was back before a look could fail: others may have crashed with it
+	}
 	w := c.addWorker(before.info, now)
 	w.born, w.listed, w.predecessor = born, before.listed, before
 	w.before = append(slices.Clone(before.before), before.born)
@@ -119,6 +122,12 @@
 	return r.worker.predecessor != nil && r.life == r.worker.predecessor || r.born.IsOtherThan(r.worker.born)
 }
 
+// lists reports whether a worker lists a run, as going on or as ended.
+func lists(report cottonlanding.RunReport, key cottonlanding.RunKey) bool {
+	return slices.ContainsFunc(report.Running, func(p cottonlanding.RunProgress) bool { return p.RunKey == key }) ||
+		slices.ContainsFunc(report.Ended, func(e cottonlanding.RunEnd) bool { return e.RunKey == key })
+}
+
 // adopt makes a run one of the present life of its worker, which has been told nothing of it yet.
 func (r *run) adopt() {
 	r.life, r.born = r.worker, r.worker.born
@@ -167,11 +176,6 @@
 // before are refused once it has answered a look of this one.
 func (r *run) mayCome() bool { return r.sentAt > 0 && (r.ordered || r.doubtful) }
 
-func lists(report cottonlanding.RunReport, key cottonlanding.RunKey) bool {
-	return slices.ContainsFunc(report.Running, func(p cottonlanding.RunProgress) bool { return p.RunKey == key }) ||
-		slices.ContainsFunc(report.Ended, func(e cottonlanding.RunEnd) bool { return e.RunKey == key })
-}
-
 // answeredElsewhere takes in the answer to an order that was given to an earlier life: which
 // life has taken it is not known.
 func (c *Cell) answeredElsewhere(r *run, order Order, err error, now cottonlanding.Millis) {
--- a/internal/workflow/planner/life_test.go
+++ b/internal/workflow/planner/life_test.go
@@ -266,6 +266,14 @@
 	w.play(10 * cottonlanding.Second)
 	require.Empty(t, w.runner.Violations())
 	w.requireState("after", cottonlanding.WorkflowSucceeded)
+	starts := w.runner.Starts()
+	for at := range w.workers {
+		w.workers[at].State = cottonlanding.Leaving
+	}
+	w.relist()
+	w.submit("late", "Urgent", quick(1))
+	w.play(2 * cottonlanding.Second)
+	require.Equal(t, starts, w.runner.Starts(), "entries are taken in as before")
 }
 
 // TestLookInDoubtOnlyAsks: after a look without an answer the next one carries neither a number of
@@ -333,3 +341,27 @@
 	w.requireState("after", cottonlanding.WorkflowSucceeded)
 	require.Empty(t, w.runner.Violations())
 }
+
+// TestCrashesTogetherBlameNobody: workers that crash together and are back at once were never silent.
+// Their crashes still speak for an outer cause: no innocent task is given up for three of them.
+func TestCrashesTogetherBlameNobody(t *testing.T) {
+	w := bornWorld(t)
+	for range 12 {
+		w.addWorker()
+		w.rebirth(len(w.workers) - 1)
+	}
+	w.relist()
+	w.play(cottonlanding.Second)
+	w.submit("slow", "Urgent", quick(32))
+	for range 3 {
+		w.play(2 * turnSpan)
+		for at := range w.workers {
+			w.rebirth(at)
+		}
+		w.lookAll()
+		w.relist()
+		w.play(3 * cottonlanding.Second)
+	}
+	w.requireState("slow", cottonlanding.WorkflowRunning)
+	require.Empty(t, w.runner.Violations())
+}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -185,7 +185,7 @@
 	room := c.room(w, now)
 	serves := t.stage.Serves()
 	switch {
-	case w.health.doubtful(now) || slices.Contains(t.failedOn, w.life()):
+	case w.health.doubtful(now) || len(t.failedOn) > 0 && slices.Contains(t.failedOn, w.life()):
 		return doubtful
 	case c.policy.Blame.Isolates(t.crashes) && w.lastingRuns():
 		return doubtful
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -63,7 +63,7 @@
 
 // MarshalJSON writes the fields in order.
 func (r taskRow) MarshalJSON() ([]byte, error) {
-	fields := []any{r.State, r.Number, r.Life, r.Failures, r.Checkpoint, r.Losses, r.Crashes}
+	fields := []any{r.State, r.Number, r.Life.String(), r.Failures, r.Checkpoint, r.Losses, r.Crashes}
 	set := []bool{r.State != taskWaiting, r.Number > 0, r.Life.Worker != "", r.Failures > 0, r.Checkpoint != "", r.Losses > 0, r.Crashes > 0}
 	for len(set) > 0 && !set[len(set)-1] {
 		set = set[:len(set)-1]
--- a/life.go
+++ b/life.go
@@ -21,15 +21,18 @@
 // that run: eight digits instead of thirteen.
 const birthBase = 36
 
-// MarshalText writes "worker@birth", and the worker alone if its birth is unknown.
-func (l Life) MarshalText() ([]byte, error) {
+// String returns "worker@birth", and the worker alone if its birth is unknown.
+func (l Life) String() string {
 	if l.Born == 0 && !strings.Contains(string(l.Worker), bornSeparator) {
-		return []byte(l.Worker), nil
+		return string(l.Worker)
 	}
-	return []byte(string(l.Worker) + bornSeparator + strconv.FormatInt(int64(l.Born), birthBase)), nil
+	return string(l.Worker) + bornSeparator + strconv.FormatInt(int64(l.Born), birthBase)
 }
 
-// UnmarshalText reads what MarshalText wrote.
+// MarshalText implements encoding.TextMarshaler.
+func (l Life) MarshalText() ([]byte, error) { return []byte(l.String()), nil }
+
+// UnmarshalText reads what String returned.
 func (l *Life) UnmarshalText(text []byte) error {
 	at := strings.LastIndex(string(text), bornSeparator)
 	if at < 0 {
