--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -58,6 +58,8 @@
 	ListWorkers func() ([]cottonlanding.WorkerInfo, bool)
 	// Queues returns the newest configuration; version zero is none.
 	Queues func() cottonlanding.Queues
+	// Evacuations returns where nothing new may start, as read last.
+	Evacuations func() cottonlanding.Evacuations
 	// ValidUntil returns until when this process surely owns the cell.
 	ValidUntil func() cottonlanding.Millis
 	// Refer returns the cell that is to keep a new workflow, if it isn't this one, of
@@ -296,9 +298,10 @@
 	d.deps.Lost()
 }
 
-// refresh takes in the newest configuration and list of workers.
+// refresh takes in the newest configuration, evacuations and list of workers.
 func (d *Driver) refresh(now cottonlanding.Millis) {
 	d.cell.SetQueues(d.deps.Queues())
+	d.cell.SetEvacuations(d.deps.Evacuations(), now)
 	workers, known := d.deps.ListWorkers()
 	if !known || sameList(workers, d.listed) {
 		return
--- a/internal/workflow/driver/load.go
+++ b/internal/workflow/driver/load.go
@@ -25,12 +25,12 @@
 	return nil
 }
 
-var errNotReady = errors.New("configuration or workers not known yet")
+var errNotReady = errors.New("configuration, evacuations or workers not known yet")
 
 func (d *Driver) tryLoad(page int) (*planner.Cell, error) {
 	workers, known := d.deps.ListWorkers()
-	queues := d.deps.Queues()
-	if !known || queues.Version == 0 {
+	queues, evacuations := d.deps.Queues(), d.deps.Evacuations()
+	if !known || queues.Version == 0 || evacuations.ReadAt == 0 {
 		return nil, errNotReady
 	}
 	began := d.deps.Clock.Now()
@@ -53,6 +53,7 @@
 	cell := planner.New(d.setup, d.timing, d.policy, d.deps.Log)
 	now := d.deps.Clock.Now()
 	cell.SetQueues(queues)
+	cell.SetEvacuations(evacuations, now)
 	cell.SetWorkers(workers, now)
 	if err := cell.Load(specs, states, now); err != nil {
 		return nil, err
--- a/internal/workflow/driver/owner_test.go
+++ b/internal/workflow/driver/owner_test.go
@@ -72,6 +72,7 @@
 		Workers:     client,
 		Clock:       o.clock,
 		Log:         slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Evacuations: noEvacuation(o.clock),
 		ListWorkers: func() ([]cottonlanding.WorkerInfo, bool) { return workers, true },
 		Queues:      func() cottonlanding.Queues { return queues },
 		ValidUntil:  func() cottonlanding.Millis { return o.clock.Now() + cottonlanding.Minute },
@@ -152,6 +153,11 @@
 }
 
 // noReferral keeps all workflows where they are handed in.
+// noEvacuation says that none is ordered, as of now.
+func noEvacuation(clock cottonlanding.Clock) func() cottonlanding.Evacuations {
+	return func() cottonlanding.Evacuations { return cottonlanding.Evacuations{ReadAt: clock.Now()} }
+}
+
 func noReferral(cottonlanding.Workflow, planner.Report, bool) (cottonlanding.CellNumber, bool) {
 	return 0, false
 }
--- a/internal/workflow/driver/sender.go
+++ b/internal/workflow/driver/sender.go
@@ -36,6 +36,7 @@
 	if d.cell == nil || now >= d.deps.ValidUntil() {
 		return
 	}
+	d.refresh(now)
 	for _, order := range d.cell.Orders(now) {
 		if at, first := d.outbox.add(order); first {
 			d.work.Go(func() { d.sendAll(at) })
@@ -80,7 +81,7 @@
 
 // send checks right before it sends that the ownership still holds, because the
 // process may have been paused, and that a start is still wanted, because it may have
-// waited for those before it.
+// waited for those before it, and may still go where it is to.
 func (d *Driver) send(order planner.Order) (cottonlanding.Reading, error) {
 	if order.SentAt >= d.deps.ValidUntil() {
 		return 0, fmt.Errorf("%w: the ownership has run out", cottonlanding.ErrLate)
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -56,6 +56,8 @@
 	FollowWorkers func(bool)
 	ListWorkers   func() ([]cottonlanding.WorkerInfo, bool)
 	Queues        func() cottonlanding.Queues
+	// Evacuations returns where nothing new may start.
+	Evacuations func() cottonlanding.Evacuations
 }
 
 // Gateway is one host's part in the workflows.
--- a/internal/workflow/gateway/seat.go
+++ b/internal/workflow/gateway/seat.go
@@ -101,6 +101,7 @@
 		Log:         s.gateway.deps.Log.With("Cell", s.cell),
 		ListWorkers: s.listWorkers,
 		Queues:      s.gateway.deps.Queues,
+		Evacuations: s.gateway.deps.Evacuations,
 		ValidUntil:  s.holder.ValidUntil,
 		Refer:       s.refer,
 		Deliver:     s.deliver,
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -49,6 +49,8 @@
 	policy Policy
 	log    *slog.Logger
 	queues cottonlanding.Queues
+	// evacuations tells where nothing new may start.
+	evacuations cottonlanding.Evacuations
 
 	jobs    map[cottonlanding.WorkflowID]*job
 	order   []*job // by acceptance, open ones only
@@ -109,6 +111,9 @@
 	Referred int64
 	// HandedOver counts workflows that waited and went to another cell.
 	HandedOver int64
+	// TakenBack counts runs that were taken back before their start was answered, because
+	// their worker may be given nothing any more.
+	TakenBack int64
 }
 
 // Add adds the counts of another cell.
@@ -124,6 +129,7 @@
 	c.Evicted += other.Evicted
 	c.Referred += other.Referred
 	c.HandedOver += other.HandedOver
+	c.TakenBack += other.TakenBack
 	if c.Ends == nil {
 		c.Ends = make(map[cottonlanding.EndKind]int64)
 	}
--- /dev/null
+++ b/internal/workflow/planner/evacuate.go
@@ -0,0 +1,124 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// Nothing starts on a worker that is cordoned: one that is leaving, or whose data centre is
+// evacuated. What runs in an evacuated data centre goes on, so that unlike one that is leaving
+// such a worker keeps its lease and its runs; only starts that didn't go out are taken back.
+
+// cordoned reports whether the worker may be given nothing new by its own word, however much
+// room it has.
+func (w *worker) cordoned() bool { return w.leaving() }
+
+// SetEvacuations takes in where nothing new may start. Starts that wait to be sent there are
+// taken back at once.
+func (c *Cell) SetEvacuations(evacuations cottonlanding.Evacuations, now cottonlanding.Millis) {
+	if evacuations.ReadAt < c.evacuations.ReadAt {
+		return
+	}
+	before := c.evacuations
+	c.evacuations = evacuations
+	if sameOrders(before, evacuations) {
+		return
+	}
+	var moved []*worker
+	for _, w := range c.sortedWorkers() {
+		if evacuations.Cover(w.info.DataCentre) != w.evacuated {
+			c.noteCordon(w)
+			moved = append(moved, w)
+		}
+	}
+	starts := c.counts.TakenBack
+	c.dropUnsent(now)
+	c.tellEvacuated(before, moved, c.counts.TakenBack-starts, now)
+}
+
+// sameOrders reports whether two readings tell of the same evacuations.
+func sameOrders(a, b cottonlanding.Evacuations) bool {
+	if len(a.Ordered) != len(b.Ordered) {
+		return false
+	}
+	for dataCentre, one := range a.Ordered {
+		if other, found := b.Ordered[dataCentre]; !found || other.Version != one.Version {
+			return false
+		}
+	}
+	return true
+}
+
+// noteCordon works out anew whether a worker's data centre is evacuated.
+func (c *Cell) noteCordon(w *worker) {
+	evacuated := c.evacuations.Cover(w.info.DataCentre)
+	if evacuated == w.evacuated {
+		return
+	}
+	w.evacuated = evacuated
+	w.changed()
+	for _, r := range w.runs.all() {
+		if !evacuated && !r.stopping {
+			r.unwanted.Store(false)
+		}
+	}
+}
+
+// takeBack ends a run whose start isn't wanted any more, or wasn't taken, and all of its gang
+// with it: the others would wait for it in vain.
+func (c *Cell) takeBack(r *run, reason string, now cottonlanding.Millis) {
+	c.endBeforeStart(r, reason, now)
+	c.takeBackGang(r, now)
+}
+
+// takeBackGang takes back the other runs of a gang that can't be complete.
+func (c *Cell) takeBackGang(r *run, now cottonlanding.Millis) {
+	if !r.step.Gang || r.task == nil {
+		return
+	}
+	for _, member := range r.task.stage.tasks {
+		if member.run != nil && member.run != r {
+			c.endBeforeStart(member.run, "its gang can't be complete", now)
+		}
+	}
+}
+
+// endBeforeStart ends a run of which no start may take effect any more.
+func (c *Cell) endBeforeStart(r *run, reason string, now cottonlanding.Millis) {
+	switch {
+	case r.stopping:
+		return
+	case r.phase < sent:
+		c.vanish(r, now)
+	default:
+		c.stop(r, reason, now)
+	}
+	c.counts.TakenBack++
+}
+
+// tellEvacuated logs each data centre that was evacuated or taken back: how many workers it
+// has, what goes on there, and how many starts were taken back.
+func (c *Cell) tellEvacuated(before cottonlanding.Evacuations, workers []*worker, starts int64, now cottonlanding.Millis) {
+	var told []cottonlanding.DataCentre
+	for _, w := range workers {
+		place := w.info.DataCentre
+		if slices.Contains(told, place) {
+			continue
+		}
+		told = append(told, place)
+		order, evacuated := c.evacuations.Ordered[place]
+		if !evacuated {
+			order = before.Ordered[place]
+		}
+		count, runs := 0, 0
+		for _, other := range workers {
+			if other.info.DataCentre == place {
+				count++
+				runs += other.runs.size()
+			}
+		}
+		c.log.Info("data centre evacuated", "DataCentre", place, "Evacuated", evacuated, "Version", order.Version,
+			"KnownFor", now-order.KnownAt, "Workers", count, "Runs", runs, "StartsTakenBack", starts)
+	}
+}
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -24,7 +24,9 @@
 type Order struct {
 	Verb   Verb
 	Worker cottonlanding.WorkerRef
-	Start  cottonlanding.RunStart
+	// DataCentre is the worker's.
+	DataCentre cottonlanding.DataCentre
+	Start      cottonlanding.RunStart
 	// Percent is the pace that VerbPace asks for.
 	Percent int
 	// GivenAt is when the cell gave the order out, SentAt is set by the driver just
@@ -109,11 +111,12 @@
 
 func (c *Cell) orderFor(w *worker, r *run, now cottonlanding.Millis) (Order, bool) {
 	order := Order{
-		Worker:  w.ref(),
-		Start:   cottonlanding.RunStart{RunKey: r.RunKey, Epoch: c.setup.Epoch},
-		GivenAt: now,
-		run:     r,
-		worker:  w,
+		Worker:     w.ref(),
+		DataCentre: w.info.DataCentre,
+		Start:      cottonlanding.RunStart{RunKey: r.RunKey, Epoch: c.setup.Epoch},
+		GivenAt:    now,
+		run:        r,
+		worker:     w,
 	}
 	switch {
 	case r.stopping:
@@ -121,7 +124,7 @@
 		return order, c.stopDue(w, r, now)
 	case r.ordered || now < r.nextTry || w.reading == 0:
 		return Order{}, false
-	case r.phase < started && !w.reachable(now):
+	case r.phase < started && (w.cordoned() || !w.reachable(now)):
 		// A lease that has passed by this life's clock may be valid by the next one's.
 		return Order{}, false
 	case r.phase == cleared || r.phase == sent:
@@ -214,7 +217,7 @@
 		}
 	case errors.Is(err, ErrUnwanted):
 		if !r.doubtful {
-			c.vanish(r, now) // else an earlier copy may start it, and it must be stopped
+			c.neverSent(r, now) // else an earlier copy may start it, and it must be stopped
 		}
 	case errors.Is(err, cottonlanding.ErrConflict):
 		// It ended there; the next look lists the end, or shows that it was noted.
@@ -241,7 +244,13 @@
 		return
 	}
 	w.blockedUntil = now + orderPause
+	c.neverSent(r, now)
+}
+
+// neverSent ends a run that its worker surely never starts, and all of its gang with it.
+func (c *Cell) neverSent(r *run, now cottonlanding.Millis) {
 	c.vanish(r, now)
+	c.takeBackGang(r, now)
 }
 
 func (c *Cell) stopAnswered(r *run, order Order, err error, now cottonlanding.Millis) {
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -159,7 +159,7 @@
 // and may still find its room here.
 func (w *worker) kept(now cottonlanding.Millis) bool {
 	t := w.keptFor
-	return t != nil && now < w.keptUntil && t.waitsLong(now) && t.stage.Reserved().Fits(w.passing())
+	return t != nil && now < w.keptUntil && !w.cordoned() && t.waitsLong(now) && t.stage.Reserved().Fits(w.passing())
 }
 
 // keptFrom reports whether the worker's room is kept from a task: from all but the
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -163,26 +163,32 @@
 }
 
 // dropUnsent ends the runs that were never sent and are to be stopped, or whose
-// worker is leaving by now: a start must not come long after that is known.
+// worker is cordoned by now: a start must not come long after that is known.
 func (c *Cell) dropUnsent(now cottonlanding.Millis) {
 	for _, w := range c.sortedWorkers() {
 		if !w.ordersDue {
 			continue
 		}
 		for _, r := range w.runs.snapshot() {
-			switch {
-			case r.phase > sent || r.task == nil:
-			case r.phase == sent && w.leaving():
-				// The start may still wait behind others: it isn't sent then.
-				c.stop(r, "its worker is leaving and has not told of the start", now)
-			case !r.ordered && r.phase < sent && (r.stopping || w.leaving()):
-				c.vanish(r, now)
-			}
+			c.dropIfUnsent(w, r, now)
 		}
 		c.dropOverRoom(w, now)
 	}
 }
 
+func (c *Cell) dropIfUnsent(w *worker, r *run, now cottonlanding.Millis) {
+	switch {
+	case r.phase > sent || r.task == nil:
+	case r.phase == sent && w.leaving():
+		// The start may still wait behind others: it isn't sent then.
+		c.takeBack(r, "its worker is leaving and has not told of the start", now)
+	case r.phase < sent && r.stopping:
+		c.vanish(r, now)
+	case r.phase < sent && w.cordoned():
+		c.takeBack(r, "its worker may be given nothing", now)
+	}
+}
+
 // dropOverRoom takes back starts that don't fit any more, because their worker's room has
 // shrunk since they were placed: what gives way most easily first. What runs goes on.
 func (c *Cell) dropOverRoom(w *worker, now cottonlanding.Millis) {
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -114,6 +114,8 @@
 type worker struct {
 	info   cottonlanding.WorkerInfo
 	listed bool
+	// evacuated says that the worker's data centre is to be given nothing new.
+	evacuated bool
 	// born is the birth of the life as its answers tell it, before those of earlier lives,
 	// predecessor the life whose runs are not settled yet.
 	born        cottonlanding.Birth
@@ -181,6 +183,7 @@
 func (c *Cell) addWorker(info cottonlanding.WorkerInfo, now cottonlanding.Millis) *worker {
 	w := &worker{info: info, runs: newRunSet(), knownSince: now}
 	w.bound = max(now, c.setup.BeforeUntil+stretched(c.timing.Lease))
+	c.noteCordon(w)
 	c.workers[info.ID] = w
 	c.sorted = nil
 	return w
@@ -212,6 +215,7 @@
 			c.log.Info("worker changed", "Worker", info.ID, "From", w.info.State, "To", info.State)
 		}
 		w.describe(info)
+		c.noteCordon(w)
 	}
 	for _, w := range c.sortedWorkers() {
 		if w.listed && !listed[w.info.ID] {
@@ -291,7 +295,7 @@
 
 // usable reports whether the worker may get a new run.
 func (w *worker) usable(now cottonlanding.Millis) bool {
-	return w.listed && w.described() && w.info.State == cottonlanding.Live && w.reachable(now) && now >= w.blockedUntil
+	return w.listed && w.described() && !w.cordoned() && w.reachable(now) && now >= w.blockedUntil
 }
 
 // leaving reports whether the worker is known to end soon.
