Nothing starts in a data centre that is evacuated

Ruled out: a follower that is late; there was none.

Change: a worker whose data centre is evacuated, or that is leaving, is cordoned: one question for placement, gangs, rooms kept, what is told of a cell's room, waiting orders, repeated copies and take-overs. What runs there goes on. A run of which a copy may be under way is ruled out once its worker has answered without listing it. A gang of which a member is taken back or refused is taken back whole.

--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -91,6 +91,7 @@
 
 	committer *committer.Committer
 	outbox    *outbox
+	cordon    *cordon
 	meter     *meter
 	stalled   atomic.Bool
 	// behind says that the last decision took longer than behindAfter.
@@ -132,6 +133,7 @@
 		attended:     make(map[cottonlanding.WorkerID]chan struct{}),
 		promptLooks:  make(chan struct{}, mostPromptLooks),
 		outbox:       newOutbox(),
+		cordon:       newCordon(deps),
 		meter:        newMeter(deps.Log),
 		decisionsDue: make(chan struct{}, 1),
 		ordersDue:    make(chan struct{}, 1),
--- a/internal/workflow/driver/sender.go
+++ b/internal/workflow/driver/sender.go
@@ -89,6 +89,11 @@
 	if order.Unwanted() {
 		return 0, planner.ErrUnwanted
 	}
+	if order.Verb == planner.VerbStart {
+		if err := d.cordon.check(order); err != nil {
+			return 0, err
+		}
+	}
 	ctx, cancel := context.WithTimeout(d.ctx, callTimeout.Duration())
 	defer cancel()
 	switch order.Verb {
--- a/internal/workflow/planner/evacuate.go
+++ b/internal/workflow/planner/evacuate.go
@@ -10,9 +10,9 @@
 // evacuated. What runs in an evacuated data centre goes on, so that unlike one that is leaving
 // such a worker keeps its lease and its runs; only starts that didn't go out are taken back.
 
-// cordoned reports whether the worker may be given nothing new by its own word, however much
-// room it has.
-func (w *worker) cordoned() bool { return w.leaving() }
+// cordoned reports whether the worker may be given nothing new by the operators' or its own
+// word, however much room it has.
+func (w *worker) cordoned() bool { return w.leaving() || w.evacuated }
 
 // SetEvacuations takes in where nothing new may start. Starts that wait to be sent there are
 // taken back at once.
@@ -65,6 +65,16 @@
 	}
 }
 
+// holdBack keeps a start from going out that may wait behind others, and has the run ruled
+// out if its worker has answered since and didn't list it: a copy may still be under way. A
+// start that had left by then goes on if it arrives.
+func (c *Cell) holdBack(r *run, now cottonlanding.Millis) {
+	r.unwanted.Store(true)
+	if !r.ordered && r.worker.answered > max(r.sentAt, r.placedAt) {
+		c.takeBack(r, "its data centre is evacuated and its worker has not told of the start", now)
+	}
+}
+
 // takeBack ends a run whose start isn't wanted any more, or wasn't taken, and all of its gang
 // with it: the others would wait for it in vain.
 func (c *Cell) takeBack(r *run, reason string, now cottonlanding.Millis) {
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -182,6 +182,8 @@
 	case r.phase == sent && w.leaving():
 		// The start may still wait behind others: it isn't sent then.
 		c.takeBack(r, "its worker is leaving and has not told of the start", now)
+	case r.phase == sent && w.evacuated:
+		c.holdBack(r, now)
 	case r.phase < sent && r.stopping:
 		c.vanish(r, now)
 	case r.phase < sent && w.cordoned():
