--- a/internal/workflow/planner/pace.go
+++ b/internal/workflow/planner/pace.go
@@ -23,8 +23,12 @@
 	// speedUpBy is the most by which a pace rises at a time, so that a rough figure
 	// does no harm before the next one.
 	speedUpBy = 40
-	// pacePatience is how long a filling task stands still before it is moved.
-	pacePatience = 1500 * cottonlanding.Millis(1)
+	// pacePatience is how long a filling task stands still before it is moved. A step ends
+	// with its last task: with a tenth of the tasks standing still, nearly each step of twenty
+	// has such a one, and a task takes two seconds. It outlasts a figure that was wrong, of
+	// half a second. With 1.5 s, a twentieth less of the filling work was done in its time on
+	// overloaded days; 0.15 and 0.4 s were no better.
+	pacePatience = 700 * cottonlanding.Millis(1)
 	// mostWaste is the progress, in percent, up to which a run without checkpoints
 	// is thrown away for a better place.
 	mostWaste = 30
