serve: evacuate and restore a data centre

Change: the operators' file lists evacuated data centres; the verbs evacuate and restore change that list alone, comments stay, and are made anew where another operator came first. In such a data centre no cell places or starts a task, also none that was assigned ahead before, and requests go to peers elsewhere; what runs goes on. get, dump and the log tell it; check names a bad or doubled entry with its line.

--- a/configuration.go
+++ b/configuration.go
@@ -1,5 +1,7 @@
 package cottonlanding
 
+import "slices"
+
 // Service is a latency-critical service as operators declare it.
 type Service struct {
 	Name ServiceName `yaml:"Name"`
@@ -54,6 +56,13 @@
 	Jobs       []JobSpec   `yaml:"Jobs,omitempty"`
 	Policies   Policies    `yaml:"Policies"`
 	Limits     Limits      `yaml:"Limits"`
+	// Evacuated lists the data centres in which nothing new starts.
+	Evacuated []DataCentre `yaml:"Evacuated,omitempty"`
+}
+
+// Evacuates reports whether nothing new starts in a data centre.
+func (c Configuration) Evacuates(dataCentre DataCentre) bool {
+	return slices.Contains(c.Evacuated, dataCentre)
 }
 
 // Service returns the service of that name.
--- a/internal/command/interpreter/commands.go
+++ b/internal/command/interpreter/commands.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"text/tabwriter"
 
@@ -82,6 +84,54 @@
 	apply.Flag("generation", "The generation that the file replaces; by default the one in force now.").Default("-1").Int64Var(&generation)
 	apply.Flag("dry-run", "Let the server check the file and change nothing.").BoolVar(&dryRun)
 	s.command("get", "Print the configuration in force.", s.get)
+	var dataCentre string
+	evacuate := s.command("evacuate", "Let nothing new start in a data centre. What runs there goes on.", func() error {
+		return s.evacuate(cottonlanding.DataCentre(dataCentre), true)
+	})
+	evacuate.Arg("data-centre", "The data centre's name.").Required().StringVar(&dataCentre)
+	restore := s.command("restore", "Take an evacuation back.", func() error {
+		return s.evacuate(cottonlanding.DataCentre(dataCentre), false)
+	})
+	restore.Arg("data-centre", "The data centre's name.").Required().StringVar(&dataCentre)
+}
+
+// mostRaces is how often a change is made anew because another operator's came first.
+const mostRaces = 5
+
+// evacuate changes the list of evacuated data centres in the configuration in force.
+func (s *session) evacuate(dataCentre cottonlanding.DataCentre, evacuated bool) error {
+	return s.call(func(ctx context.Context, o *operator.Operator) error {
+		var err error
+		for range mostRaces {
+			var generation cottonlanding.Generation
+			if generation, err = s.tryEvacuate(ctx, o, dataCentre, evacuated); err == nil {
+				text := fmt.Sprintf("generation %d is accepted: evacuated %t: %s", generation, evacuated, dataCentre)
+				return s.print(text, struct {
+					DataCentre cottonlanding.DataCentre
+					Evacuated  bool
+					Generation cottonlanding.Generation
+				}{dataCentre, evacuated, generation})
+			}
+			var refusal *operator.Refusal
+			if !errors.As(err, &refusal) || refusal.Status != http.StatusConflict {
+				return err
+			}
+		}
+		return err
+	})
+}
+
+func (s *session) tryEvacuate(ctx context.Context, o *operator.Operator, dataCentre cottonlanding.DataCentre, evacuated bool) (cottonlanding.Generation, error) {
+	text, generation, err := o.Config(ctx)
+	if err != nil {
+		return 0, err
+	}
+	next, err := loader.Evacuate("the configuration in force", text, dataCentre, evacuated)
+	if err != nil {
+		return 0, err
+	}
+	applied, err := o.Apply(ctx, next, generation, false)
+	return applied.Generation, err
 }
 
 func (s *session) check(file string) error {
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -96,7 +96,11 @@
 	leaving    atomic.Bool
 	inForce    atomic.Bool
 	// supplied says that requests can be run on executors of this data centre.
-	supplied     atomic.Bool
+	supplied atomic.Bool
+	// evacuated says that nothing new starts in this data centre, evacuatedDue that this has
+	// just changed.
+	evacuated    atomic.Bool
+	evacuatedDue chan struct{}
 	drainOnce    sync.Once
 	drained      chan struct{}
 	hostFailures atomic.Int64
@@ -130,6 +134,8 @@
 		ctx:       ctx,
 		cancel:    cancel,
 		drained:   make(chan struct{}),
+
+		evacuatedDue: make(chan struct{}, 1),
 	}
 	peerServer := &exchanger.Server{}
 	var err error
@@ -273,7 +279,14 @@
 	r.submitted.set(configuration.Jobs)
 	r.exchanger.Nudge()
 	r.inForce.Store(true)
-	r.log.Info("configuration in force", "Generation", snapshot.Generation)
+	r.log.Info("configuration in force", "Generation", snapshot.Generation, "Evacuated", configuration.Evacuated)
+	if evacuated := configuration.Evacuates(r.settings.DataCentre); r.evacuated.Swap(evacuated) != evacuated {
+		r.log.Info("data centre evacuated", "DataCentre", r.settings.DataCentre, "Evacuated", evacuated)
+		select {
+		case r.evacuatedDue <- struct{}{}:
+		default: // it is looked at anyway
+		}
+	}
 }
 
 // rules picks the policies that a configuration names; loader has checked them.
@@ -287,6 +300,7 @@
 		Admission: admission,
 		Limits:    configuration.Limits,
 		Teams:     configuration.Teams,
+		Evacuated: configuration.Evacuated,
 	}
 }
 
@@ -304,12 +318,17 @@
 			}
 		}
 		seated := r.seater.Seated()
-		r.dispatcher.SetExecutors(executors, r.settings.Seats, seated)
-		r.supplied.Store(seated && len(executors) > 0)
+		usable := executors
+		if r.evacuated.Load() {
+			usable = nil // what they run goes on; new requests go to peers elsewhere
+		}
+		r.dispatcher.SetExecutors(usable, r.settings.Seats, seated)
+		r.supplied.Store(seated && len(usable) > 0)
 		r.lender.SetLending(r.lends(), r.clock.Now())
 		select {
 		case <-r.ctx.Done():
 			return
+		case <-r.evacuatedDue:
 		case <-ticker.C:
 		}
 	}
--- a/internal/daemon/runner/state.go
+++ b/internal/daemon/runner/state.go
@@ -20,18 +20,20 @@
 	DataCentre cottonlanding.DataCentre
 	Ready      bool
 	Leaving    bool
-	Session    registrar.State
-	Observer   observer.State
-	Follower   follower.State
-	Decisions  committer.State
-	ClaimLane  committer.State
-	Claims     claimer.State
-	Seat       seater.State
-	Lender     lender.State
-	Borrower   borrower.State
-	Owner      owner.State
-	Services   []dispatcher.ServiceState
-	Peers      []exchanger.PeerState
+	// Evacuated says that nothing new starts in this host's data centre.
+	Evacuated bool
+	Session   registrar.State
+	Observer  observer.State
+	Follower  follower.State
+	Decisions committer.State
+	ClaimLane committer.State
+	Claims    claimer.State
+	Seat      seater.State
+	Lender    lender.State
+	Borrower  borrower.State
+	Owner     owner.State
+	Services  []dispatcher.ServiceState
+	Peers     []exchanger.PeerState
 	// HostListFailures counts reads of the host list that failed.
 	HostListFailures int64
 }
@@ -42,6 +44,7 @@
 		DataCentre:       r.settings.DataCentre,
 		Ready:            r.Ready(),
 		Leaving:          r.leaving.Load(),
+		Evacuated:        r.evacuated.Load(),
 		Session:          r.registrar.State(),
 		Observer:         r.observer.State(),
 		Follower:         r.follower.State(),
--- a/internal/placement/scheduler/ahead.go
+++ b/internal/placement/scheduler/ahead.go
@@ -75,7 +75,7 @@
 	best, fewest := cottonlanding.NoWorker, most
 	for i, w := range pass.workers {
 		count := w.aheadCount()
-		if count < fewest && w.usable(pass.now) && !w.probation && t.job.Spec.Resources.Fits(w.info.Capacity) {
+		if count < fewest && c.takes(w, pass.now) && !w.probation && t.job.Spec.Resources.Fits(w.info.Capacity) {
 			best, fewest = i, count
 		}
 	}
@@ -106,7 +106,7 @@
 
 func (c *Cell) roomElsewhere(pass *placement, here *worker, t *task) bool {
 	for _, w := range pass.workers {
-		if w != here && w.usable(pass.now) && !pass.kept[w.info.ID] && t.job.Spec.Resources.Fits(w.free()) {
+		if w != here && c.takes(w, pass.now) && !pass.kept[w.info.ID] && t.job.Spec.Resources.Fits(w.free()) {
 			return true
 		}
 	}
--- a/internal/placement/scheduler/cell.go
+++ b/internal/placement/scheduler/cell.go
@@ -72,6 +72,8 @@
 	Admission cottonlanding.AdmissionOrder
 	Limits    cottonlanding.Limits
 	Teams     []cottonlanding.TeamQuota
+	// Evacuated lists the data centres in which nothing starts.
+	Evacuated []cottonlanding.DataCentre
 }
 
 // Counts counts a cell's decisions since its owner took it.
--- a/internal/placement/scheduler/cell_test.go
+++ b/internal/placement/scheduler/cell_test.go
@@ -192,6 +192,31 @@
 	require.Empty(t, w.hosts[0].Ledger())
 }
 
+// TestEvacuatedDataCentreGetsNothingNew: what is queued or assigned ahead waits while the data
+// centre is evacuated, what runs there goes on, and all is done once that is taken back.
+func TestEvacuatedDataCentreGetsNothingNew(t *testing.T) {
+	w := newWorld(t, 2, []int{0, 0})
+	w.run(2000)
+	w.accept(t, job("before", 24, 1, 4000))
+	w.run(1000)
+	cell := w.owner().cell
+	evacuated := newRules(2)
+	evacuated.Evacuated = []cottonlanding.DataCentre{"brno-a"}
+	cell.SetRules(evacuated)
+	w.run(500) // what was on its way arrives
+	started := len(w.hosts[0].Ledger()) + len(w.hosts[1].Ledger())
+	require.Equal(t, 16, started, "one a core")
+	w.accept(t, job("meanwhile", 4, 1, 500))
+	w.run(20_000)
+	require.Equal(t, started, len(w.hosts[0].Ledger())+len(w.hosts[1].Ledger()))
+	cell.SetRules(newRules(2))
+	w.run(20_000)
+	for _, name := range []cottonlanding.JobName{"before", "meanwhile"} {
+		status, _ := cell.Job(name)
+		require.Equal(t, cottonlanding.JobDone, status.Job.State, name)
+	}
+}
+
 func TestTakeoverMovesNothingThatIsReached(t *testing.T) {
 	w := newWorld(t, 0, []int{0, 0, 0})
 	w.run(2000)
--- a/internal/placement/scheduler/decide.go
+++ b/internal/placement/scheduler/decide.go
@@ -142,7 +142,7 @@
 	}
 	pass := &placement{now: now, use: c.teamUse(), kept: c.keptWorkers()}
 	for _, w := range c.sortedWorkers() {
-		if w.usable(now) {
+		if c.takes(w, now) {
 			pass.workers = append(pass.workers, w)
 			pass.views = append(pass.views, w.view())
 		}
@@ -284,7 +284,7 @@
 	var fresh, failed []int
 	for i, view := range pass.views {
 		switch {
-		case !pass.workers[i].usable(pass.now) || !t.job.Spec.Resources.Fits(view.Free):
+		case !c.takes(pass.workers[i], pass.now) || !t.job.Spec.Resources.Fits(view.Free):
 		case pass.kept[view.ID] && !t.pressing():
 		case slices.Contains(t.FailedOn, view.ID):
 			failed = append(failed, i)
--- a/internal/placement/scheduler/round.go
+++ b/internal/placement/scheduler/round.go
@@ -141,7 +141,7 @@
 		}
 	case t.evicting && h.acked && !h.checkpointed:
 		return VerbCheckpoint
-	case !h.acked && !h.ahead && t.startable(w.info.ID, r.attempt):
+	case !h.acked && !h.ahead && !c.evacuated(w) && t.startable(w.info.ID, r.attempt):
 		return VerbStart
 	}
 	return ""
--- a/internal/placement/scheduler/state.go
+++ b/internal/placement/scheduler/state.go
@@ -56,7 +56,7 @@
 			ID:             w.info.ID,
 			Listed:         w.listed,
 			Leaving:        w.leaving,
-			Usable:         w.usable(now),
+			Usable:         c.takes(w, now),
 			Quarantined:    now < w.quarantinedUntil,
 			Capacity:       w.info.Capacity,
 			Free:           w.free(),
@@ -71,7 +71,7 @@
 func (c *Cell) Summary(now cottonlanding.Millis) Summary {
 	out := Summary{Cell: c.setup.ID, Epoch: c.setup.Epoch, Queued: len(c.queue)}
 	for _, w := range c.workers {
-		if w.usable(now) {
+		if c.takes(w, now) {
 			out.Free = out.Free.Plus(w.free())
 		}
 	}
--- a/internal/placement/scheduler/worker.go
+++ b/internal/placement/scheduler/worker.go
@@ -138,6 +138,17 @@
 	return !w.probation || len(w.holds) == 0
 }
 
+// evacuated reports whether nothing may start on a worker, because its data centre is to be
+// given nothing new.
+func (c *Cell) evacuated(w *worker) bool {
+	return slices.Contains(c.rules.Evacuated, w.info.DataCentre)
+}
+
+// takes reports whether the worker may be given a task.
+func (c *Cell) takes(w *worker, now cottonlanding.Millis) bool {
+	return w.usable(now) && !c.evacuated(w)
+}
+
 // reserved returns what the holds take.
 func (w *worker) reserved() cottonlanding.Resources {
 	var sum cottonlanding.Resources
--- a/internal/placement/scheduler/world_test.go
+++ b/internal/placement/scheduler/world_test.go
@@ -126,7 +126,7 @@
 		id := fmt.Sprintf("worker-%d", i)
 		h.Worker = worker.New(cottonlanding.WorkerInfo{
 			ID: cottonlanding.WorkerID(id), Address: cottonlanding.Address(id),
-			Rack: "rack", Capacity: capacity, State: cottonlanding.Live,
+			DataCentre: "brno-a", Rack: "rack", Capacity: capacity, State: cottonlanding.Live,
 		}, cottonlanding.ClockOf(func() cottonlanding.Millis { return h.local(w.now) }), w.store)
 		w.hosts = append(w.hosts, h)
 	}
--- a/internal/settings/loader/configuration.go
+++ b/internal/settings/loader/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -97,6 +98,17 @@
 	checkVariant(document, "Policies.Admission", c.Policies.Admission, orderer.Catalog.Names())
 	checkRange(document, "Limits.Attempts", c.Limits.Attempts, 1, mostAttempts)
 	checkRange(document, "Limits.AssignAhead", c.Limits.AssignAhead, 0, mostAhead)
+	checkEvacuated(document, c.Evacuated)
+}
+
+func checkEvacuated(document *decoder.Document, evacuated []cottonlanding.DataCentre) {
+	for i, dataCentre := range evacuated {
+		path := indexed("Evacuated", i)
+		checkName(document, path, string(dataCentre))
+		if slices.Contains(evacuated[:i], dataCentre) {
+			document.Fault(path, "%q is there twice", dataCentre)
+		}
+	}
 }
 
 func checkTeams(document *decoder.Document, teams []cottonlanding.TeamQuota) {
