--- a/internal/workflow/driver/stale_test.go
+++ b/internal/workflow/driver/stale_test.go
@@ -159,35 +159,61 @@
 	return l.slowStarts.Start(ctx, worker, start)
 }
 
+// queueAt is the data centre of the worker that playQueue has.
+const queueAt cottonlanding.DataCentre = "d"
+
+// playQueue has one worker take 900 ms for each of ten starts of one workflow, and returns while
+// the first of them is under way. amend may replace what the owner works with.
+func playQueue(t *testing.T, amend func(deps *driver.Dependencies)) *lateStarts {
+	clock := cottonlanding.NewClock()
+	stand := runner.New(clock, func(cottonlanding.RunKey) runner.Fate { return runner.Fate{Forever: true} })
+	workers := []cottonlanding.WorkerInfo{labelled(stand, 0, "", 32)}
+	workers[0].DataCentre = queueAt
+	starts := &lateStarts{slowStarts: slowStarts{RunClient: &patientWorkers{stand}, after: 900 * time.Millisecond}}
+	deps := dependencies(t, clock, keeper.New(), starts, workers)
+	amend(&deps)
+	d := driver.New(deps, planner.Setup{Partition: "Test", Epoch: 1},
+		planner.Timing{Lease: 6000, CutOffGrace: 1000, StopTimeout: 200, Retention: cottonlanding.Minute}, everyPlacement(spread()))
+	t.Cleanup(d.Close)
+	handIn(t, d, "slow", cottonlanding.Step{Tasks: 10, Resources: cottonlanding.Resources{CPU: 1000}})
+	time.Sleep(500 * time.Millisecond)
+	require.EqualValues(t, 1, starts.pending.Load(), "starts under way")
+	return starts
+}
+
+// requireNoneAfter checks that no start is sent in the ten seconds after a span.
+func (l *lateStarts) requireNoneAfter(t *testing.T, span time.Duration, what string) {
+	t.Helper()
+	time.Sleep(span)
+	l.late.Store(true)
+	time.Sleep(10 * time.Second)
+	require.Zero(t, l.sent.Load(), what)
+}
+
+// requireSomeSoon checks that starts are sent within a second.
+func (l *lateStarts) requireSomeSoon(t *testing.T, what string) {
+	t.Helper()
+	time.Sleep(time.Second)
+	require.NotZero(t, l.sent.Load(), what)
+}
+
 // TestNoStartToAWorkerThatLeaves: a start that waits behind others isn't sent once its
 // worker has been known to leave for a while.
 func TestNoStartToAWorkerThatLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		clock := cottonlanding.NewClock()
-		stand := runner.New(clock, func(cottonlanding.RunKey) runner.Fate { return runner.Fate{Forever: true} })
-		workers := []cottonlanding.WorkerInfo{labelled(stand, 0, "", 32)}
-		leaving := slices.Clone(workers)
-		leaving[0].State = cottonlanding.Leaving
 		var leaves atomic.Bool
-		starts := &lateStarts{slowStarts: slowStarts{RunClient: &patientWorkers{stand}, after: 900 * time.Millisecond}}
-		table := keeper.New()
-		deps := dependencies(t, clock, table, starts, nil)
-		deps.ListWorkers = func() ([]cottonlanding.WorkerInfo, bool) {
-			if leaves.Load() {
-				return leaving, true
+		starts := playQueue(t, func(deps *driver.Dependencies) {
+			workers, _ := deps.ListWorkers()
+			leaving := slices.Clone(workers)
+			leaving[0].State = cottonlanding.Leaving
+			deps.ListWorkers = func() ([]cottonlanding.WorkerInfo, bool) {
+				if leaves.Load() {
+					return leaving, true
+				}
+				return workers, true
 			}
-			return workers, true
-		}
-		d := driver.New(deps, planner.Setup{Partition: "Test", Epoch: 1},
-			planner.Timing{Lease: 6000, CutOffGrace: 1000, StopTimeout: 200, Retention: cottonlanding.Minute}, everyPlacement(spread()))
-		defer d.Close()
-		handIn(t, d, "slow", cottonlanding.Step{Tasks: 10, Resources: cottonlanding.Resources{CPU: 1000}})
-		time.Sleep(500 * time.Millisecond)
-		require.EqualValues(t, 1, starts.pending.Load(), "starts under way")
+		})
 		leaves.Store(true)
-		time.Sleep(drainWithin)
-		starts.late.Store(true)
-		time.Sleep(10 * time.Second)
-		require.Zero(t, starts.sent.Load(), "starts later than that")
+		starts.requireNoneAfter(t, drainWithin, "starts later than that")
 	})
 }
