Sight: which checkpoint a start brings, and from where it is known

What callers saw: starts with a checkpoint that isn't the task's. No line of the log told the text of a start, which run had left it, or whether a repeat brought another one, so that no hypothesis but the last could be told from the others. Change: a line for each start that continues from a checkpoint. No change of logic.

--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -81,6 +81,8 @@
 	failures   int
 	crashes    cottonlanding.CrashRecord
 	checkpoint cottonlanding.Checkpoint
+	// checkpointFrom tells from where the checkpoint is known.
+	checkpointFrom checkpointSource
 	// life is where the last run was placed.
 	life cottonlanding.Life
 	run  *run
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -79,6 +79,7 @@
 
 func (c *Cell) loadTask(t *task, row taskRow, now cottonlanding.Millis) {
 	t.state, t.number, t.failures, t.life, t.checkpoint = row.State, row.Number, row.Failures, row.Life, row.Checkpoint
+	t.checkpointFrom = checkpointSource{checkpointLoaded, row.Number, row.Life.Worker, now}
 	t.crashes = cottonlanding.CrashRecord{Losses: row.Losses, Crashes: row.Crashes}
 	switch t.state {
 	case taskDone:
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -189,5 +189,6 @@
 	r.tail, r.used = p.Tail, p.Used
 	if r.task != nil && p.Checkpoint != "" {
 		r.task.checkpoint = p.Checkpoint
+		r.task.checkpointFrom = checkpointSource{checkpointListed, r.Number, r.worker.info.ID, now}
 	}
 }
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -140,6 +140,9 @@
 		order.Start.Payload = r.task.job.Payload
 		order.Start.LeaseUntil = c.leaseUntil(w, now)
 		order.Start.Checkpoint = r.task.checkpoint
+		if order.Start.Checkpoint != "" {
+			c.tellCheckpoint(w, r, order.Start.Checkpoint, now)
+		}
 		r.phase = sent
 		r.sentAt = now
 		return order, true
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -47,6 +47,7 @@
 	}
 	if end.Checkpoint != "" {
 		t.checkpoint = end.Checkpoint
+		t.checkpointFrom = checkpointSource{checkpointEnded, end.Number, w.info.ID, now}
 	}
 	switch {
 	case end.Kind == cottonlanding.EndDone && !t.stage.Lasting:
