--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -8,7 +8,6 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/api/server"
@@ -22,9 +21,6 @@
 	"github.com/cottonlanding/cottonlanding/internal/peer/messenger"
 	"github.com/cottonlanding/cottonlanding/internal/placement/owner"
 	"github.com/cottonlanding/cottonlanding/internal/placement/scheduler"
-	"github.com/cottonlanding/cottonlanding/internal/policy/evictor"
-	"github.com/cottonlanding/cottonlanding/internal/policy/orderer"
-	"github.com/cottonlanding/cottonlanding/internal/policy/placer"
 	"github.com/cottonlanding/cottonlanding/internal/request/borrower"
 	"github.com/cottonlanding/cottonlanding/internal/request/claimer"
 	"github.com/cottonlanding/cottonlanding/internal/request/dispatcher"
@@ -35,22 +31,11 @@
 )
 
 const (
-	// refreshEvery is how often the share of the slots is looked at; each
-	// hostsEvery-th time the host list is read.
-	refreshEvery = 200 * cottonlanding.Millis(1)
-	hostsEvery   = 5
-	hostsTimeout = 2 * cottonlanding.Second
 	// claimSpacing is short, because callers wait for their claims; it grows with
 	// the sessions, so that all of them together send at most 200 transactions of
 	// claims a second.
 	claimSpacing           = 10 * cottonlanding.Millis(1)
 	claimSpacingPerSession = 5 * cottonlanding.Millis(1)
-	// balancerDelay is how long a leaving host still takes requests, so that the
-	// balancer can notice.
-	balancerDelay = cottonlanding.Second
-	// finishWithin bounds the wait for requests and commits at a planned stop.
-	finishWithin = 20 * cottonlanding.Second
-	releaseWait  = 5 * cottonlanding.Second
 	// seatPatience is how long a new host waits for a seat before it takes
 	// callers all the same, whose requests it hands to its peers.
 	seatPatience = 3 * cottonlanding.Second
@@ -242,199 +227,3 @@
 func (r *Runner) Ready() bool {
 	return !r.leaving.Load() && r.inForce.Load() && (r.supplied.Load() || r.clock.Now() > seatPatience)
 }
-
-// offerSnapshot keeps the newest generation for followConfiguration. It is never
-// called twice at a time.
-func (r *Runner) offerSnapshot(snapshot follower.Snapshot) {
-	select {
-	case <-r.snapshots:
-	default:
-	}
-	r.snapshots <- snapshot
-}
-
-func (r *Runner) followConfiguration() {
-	for {
-		select {
-		case <-r.ctx.Done():
-			return
-		case snapshot := <-r.snapshots:
-			r.putInForce(snapshot)
-		}
-	}
-}
-
-func (r *Runner) putInForce(snapshot follower.Snapshot) {
-	configuration, err := loader.ParseConfiguration("configuration", snapshot.Text)
-	if err != nil {
-		r.log.Error("an accepted configuration can't be read", "Generation", snapshot.Generation, "Error", err)
-		return
-	}
-	r.owner.SetRules(rules(configuration))
-	r.dispatcher.SetConfiguration(configuration)
-	r.claimer.SetKeep(configuration.Limits.KeepAnswers)
-	longest := dispatcher.LongestRequest(configuration.Services)
-	r.seater.SetSettling(longest)
-	r.lender.SetServices(configuration.Services, longest)
-	r.submitted.set(configuration.Jobs)
-	r.exchanger.Nudge()
-	r.inForce.Store(true)
-	r.log.Info("configuration in force", "Generation", snapshot.Generation, "Evacuated", configuration.Evacuated)
-	if evacuated := configuration.Evacuates(r.settings.DataCentre); r.evacuated.Swap(evacuated) != evacuated {
-		r.log.Info("data centre evacuated", "DataCentre", r.settings.DataCentre, "Evacuated", evacuated)
-		select {
-		case r.evacuatedDue <- struct{}{}:
-		default: // it is looked at anyway
-		}
-	}
-}
-
-// rules picks the policies that a configuration names; loader has checked them.
-func rules(configuration cottonlanding.Configuration) scheduler.Rules {
-	placement, _ := placer.Catalog.Get(configuration.Policies.Placement)
-	eviction, _ := evictor.Catalog.Get(configuration.Policies.Eviction)
-	admission, _ := orderer.Catalog.Get(configuration.Policies.Admission)
-	return scheduler.Rules{
-		Placement: placement,
-		Eviction:  eviction,
-		Admission: admission,
-		Limits:    configuration.Limits,
-		Teams:     configuration.Teams,
-		Evacuated: configuration.Evacuated,
-	}
-}
-
-func (r *Runner) followHosts() {
-	ticker := time.NewTicker(refreshEvery.Duration())
-	defer ticker.Stop()
-	var executors []cottonlanding.ExecutorInfo
-	for turn := 0; ; turn++ {
-		if turn%hostsEvery == 0 {
-			if hosts, err := r.hosts(); err == nil {
-				r.owner.SetHosts(hosts.Workers)
-				executors = hosts.Executors
-			} else {
-				r.hostFailures.Add(1)
-			}
-		}
-		seated := r.seater.Seated()
-		usable := executors
-		if r.evacuated.Load() {
-			usable = nil // what they run goes on; new requests go to peers elsewhere
-		}
-		r.dispatcher.SetExecutors(usable, r.settings.Seats, seated)
-		r.supplied.Store(seated && len(usable) > 0)
-		r.lender.SetLending(r.lends(), r.clock.Now())
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-r.evacuatedDue:
-		case <-ticker.C:
-		}
-	}
-}
-
-// living returns the live sessions, and whether work that one daemon does for all
-// falls to this one.
-func (r *Runner) living() (map[cottonlanding.SessionID]bool, bool) {
-	view := r.observer.View()
-	alive := make(map[cottonlanding.SessionID]bool, len(view.Live))
-	for _, session := range view.Live {
-		alive[session.ID] = true
-	}
-	return alive, fallsTo(view, "sweep") == r.registrar.Session().ID
-}
-
-// lends reports whether this daemon lends the slots of its data centre.
-func (r *Runner) lends() bool {
-	for _, summary := range r.owner.Summaries() {
-		if summary.Cell == exchanger.LendingCell(r.settings.DataCentre) {
-			return r.registrar.Valid()
-		}
-	}
-	return false
-}
-
-func (r *Runner) hosts() (cottonlanding.Hosts, error) {
-	ctx, cancel := context.WithTimeout(r.ctx, hostsTimeout.Duration())
-	defer cancel()
-	return r.outside.Hosts.Hosts(ctx, r.settings.DataCentre)
-}
-
-// Drain makes a planned stop: the host takes no new callers, hands over its
-// cells and finishes what it has begun. It returns when that is done.
-func (r *Runner) Drain() {
-	r.drain()
-	<-r.drained
-}
-
-func (r *Runner) drain() {
-	r.drainOnce.Do(func() {
-		defer close(r.drained)
-		r.leaving.Store(true)
-		r.registrar.Leave()
-		r.log.Info("draining")
-		ctx, cancel := context.WithTimeout(context.Background(), releaseWait.Duration())
-		defer cancel()
-		if err := r.owner.Drain(ctx); err != nil {
-			r.log.Warn("cells were not handed over", "Error", err)
-		}
-		time.Sleep(balancerDelay.Duration())
-		finish, cancelFinish := context.WithTimeout(context.Background(), finishWithin.Duration())
-		defer cancelFinish()
-		if err := r.dispatcher.Close(finish); err != nil {
-			r.log.Warn("requests were cut off", "Error", err)
-		}
-		r.log.Info("drained")
-	})
-}
-
-// Close drains and ends the daemon.
-func (r *Runner) Close() {
-	r.Drain()
-	ctx, cancel := context.WithTimeout(context.Background(), releaseWait.Duration())
-	defer cancel()
-	if err := r.listener.Close(ctx); err != nil {
-		r.log.Warn("connections were cut off", "Error", err)
-	}
-	r.end(ctx)
-	r.log.Info("stopped")
-}
-
-// abort ends a daemon that could not start.
-func (r *Runner) abort() {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	_ = r.dispatcher.Close(ctx) // it has no calls
-	r.end(ctx)
-}
-
-func (r *Runner) end(ctx context.Context) {
-	r.cancel()
-	r.duties.Wait()
-	r.borrower.Close()
-	r.exchanger.Close()
-	r.messenger.Close(ctx)
-	r.sweeper.Close()
-	r.claimer.Close()
-	r.follower.Close()
-	r.observer.Close()
-	r.claims.Close(ctx)
-	r.decisions.Close(ctx)
-	r.owner.Close()
-	if err := r.seater.Close(ctx); err != nil {
-		r.log.Warn("seat", "Error", err)
-	}
-	if err := r.registrar.Close(ctx); err != nil {
-		r.log.Warn("session", "Error", err)
-	}
-	if err := r.metrics.Close(); err != nil {
-		r.log.Warn("metrics", "Error", err)
-	}
-}
-
-// Apply puts the first configuration in force.
-func (r *Runner) Apply(ctx context.Context, text []byte) error {
-	_, err := r.follower.Apply(ctx, text, 0)
-	return err
-}
--- a/internal/policy/placer/pack.go
+++ b/internal/policy/placer/pack.go
@@ -6,7 +6,7 @@
 // task's own as free once more: large workers go before small ones with as little room.
 // Its load is workers that lasting tasks fill almost, with small rooms everywhere: spread
 // short tasks take the largest of those, and none is left for a large one. Plain best fit,
-// by what would be left, was worth 0.012 less (docs/EXPERIMENTS.md).
+// by what would be left, does less well (docs/EXPERIMENTS.md).
 type Pack struct{}
 
 // Place implements cottonlanding.PlacementPolicy.
--- a/internal/policy/ranker/ranker.go
+++ b/internal/policy/ranker/ranker.go
@@ -74,12 +74,7 @@
 
 // Worth serves those first that are worth the most for the work that is left of them. What
 // was begun is finished before more is begun, and large workflows, which are worth more, are
-// passed over less often than by LeastLeft.
-//
-// Measured with 350 workers and 21 filling workflows a second, three days with trouble: of
-// what could be earned, 0.547 against 0.504 of Arrival and 0.549 of LeastLeft, whose largest
-// workflows earned 0.26 against 0.31 on the heaviest day. Where there is room for all, the
-// three are alike.
+// passed over less often than by LeastLeft. Where there is room for all, the three are alike.
 type Worth struct{}
 
 // Rank implements cottonlanding.RankingPolicy.
--- a/internal/workflow/driver/cordon.go
+++ b/internal/workflow/driver/cordon.go
@@ -16,8 +16,7 @@
 	oldestReading = 3500 * cottonlanding.Millis(1)
 	// oldestList is the same for the list of workers, of which a start must not come later
 	// than two seconds after it says that the worker leaves. A host in touch is at half a
-	// second and a call. With three thousand workers and a list that was 3 to 9 s behind, 107
-	// starts of one day came too late.
+	// second and a call; one that is behind with thousands of workers is seconds late.
 	oldestList = 1500 * cottonlanding.Millis(1)
 )
 
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -41,9 +41,9 @@
 	// reportAge is how old what is left of a cell may be to be told: three beats.
 	reportAge = 900 * cottonlanding.Millis(1)
 	// mostPromptLooks bounds the looks that ask for an answer at once, promptHold is how
-	// long one counts as such while others are answered sooner. Small hosts take some 10 ms
-	// for one, by estimate: the answers are then read within callTimeout. Where a third of
-	// 350 workers is cut off, the others are heard within a second.
+	// long one counts as such while others are answered sooner. A small host takes some 10 ms
+	// for each: it reads the answers within callTimeout, and workers that are cut off don't
+	// hold up the others for more than a second.
 	mostPromptLooks = 32
 	promptHold      = 250 * cottonlanding.Millis(1)
 )
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -10,7 +10,7 @@
 	// driftDivisor bounds clock drift: a worker's clock may run 1/50 slow. Source:
 	// the promise that workers give for their lease clocks.
 	driftDivisor = 50
-	// leaseMargin covers timers that go off late on the worker, by estimate.
+	// leaseMargin covers timers that go off late on the worker.
 	leaseMargin = 100 * cottonlanding.Millis(1)
 	// reachableWithin is how fresh a worker's last answer must be for it to get a
 	// start: two long looks.
