The test of an owner that is behind has all its workflows accepted first

Cause: the test. Four workflows were offered at once and none was waited for: once the first of them had made the owner fall behind, the others were refused, as they are to be. If w0 was one of those, it had not been accepted; if but one got in, its 800 tasks of 1 ms never came to the second that the test waits for. Change: nothing suits any task until all four are accepted. What is asked for is as before, with w0 surely accepted.

--- a/internal/workflow/driver/driver_test.go
+++ b/internal/workflow/driver/driver_test.go
@@ -235,9 +235,11 @@
 	o := newOwner(t, setup{workers: 40, room: 100, policy: policy})
 	defer o.driver.Close()
 	o.submit("first", cottonlanding.Step{Tasks: 1})
+	policy.closed.Store(true) // all four are accepted before the first of them is placed
 	for number := range 4 {
-		go o.offer(cottonlanding.WorkflowID(fmt.Sprintf("w%d", number)), cottonlanding.Step{Tasks: 800})
+		o.submit(cottonlanding.WorkflowID(fmt.Sprintf("w%d", number)), cottonlanding.Step{Tasks: 800})
 	}
+	policy.closed.Store(false)
 	o.eventually("the owner falls behind", func() bool { return policy.spent.Load() > int64(time.Second) })
 	refused := 0
 	o.eventually("new work is refused", func() bool {
@@ -270,9 +272,14 @@
 	cottonlanding.PlacementPolicy
 	cost  time.Duration
 	spent atomic.Int64
+	// closed says that no worker suits any task.
+	closed atomic.Bool
 }
 
 func (c *costly) Place(task cottonlanding.TaskView, candidates []cottonlanding.WorkerView) int {
+	if c.closed.Load() {
+		return cottonlanding.NoWorker
+	}
 	began := time.Now()
 	time.Sleep(c.cost)
 	c.spent.Add(int64(time.Since(began)))
