--- a/internal/workflow/driver/cordon.go
+++ b/internal/workflow/driver/cordon.go
@@ -46,8 +46,13 @@
 }
 
 func (c *cordon) ages() ages {
+	return c.agesWith(c.evacuations())
+}
+
+// agesWith is ages for evacuations that were asked for already.
+func (c *cordon) agesWith(evacuations cottonlanding.Evacuations) ages {
 	now := c.clock.Now()
-	return ages{evacuations: c.evacuations().Age(now), list: now - c.listedAt()}
+	return ages{evacuations: evacuations.Age(now), list: now - c.listedAt()}
 }
 
 // tooOld reports whether nothing may be started until it is read again.
@@ -63,7 +68,7 @@
 	if c.leaves(order.Worker.Life.Worker) {
 		return fmt.Errorf("the worker is leaving: %w", planner.ErrUnwanted)
 	}
-	if known := c.ages(); known.tooOld() {
+	if known := c.agesWith(evacuations); known.tooOld() {
 		return fmt.Errorf("%w: evacuations were read %s ago, the list %s", cottonlanding.ErrLate, known.evacuations, known.list)
 	}
 	return nil
--- a/internal/workflow/planner/evacuate.go
+++ b/internal/workflow/planner/evacuate.go
@@ -27,8 +27,7 @@
 	}
 	var moved []*worker
 	for _, w := range c.sortedWorkers() {
-		if evacuations.Cover(w.info.DataCentre) != w.evacuated {
-			c.noteCordon(w)
+		if c.noteCordon(w) {
 			moved = append(moved, w)
 		}
 	}
@@ -50,11 +49,12 @@
 	return true
 }
 
-// noteCordon works out anew whether a worker's data centre is evacuated.
-func (c *Cell) noteCordon(w *worker) {
+// noteCordon works out anew whether a worker's data centre is evacuated, and reports whether
+// that has changed.
+func (c *Cell) noteCordon(w *worker) bool {
 	evacuated := c.evacuations.Cover(w.info.DataCentre)
 	if evacuated == w.evacuated {
-		return
+		return false
 	}
 	w.evacuated = evacuated
 	w.changed()
@@ -63,6 +63,7 @@
 			r.unwanted.Store(false)
 		}
 	}
+	return true
 }
 
 // holdBack keeps a start from going out that may wait behind others, and has the run ruled
--- a/internal/workflow/planner/rank.go
+++ b/internal/workflow/planner/rank.go
@@ -24,13 +24,13 @@
 // compareRanks orders workflows by priority, those whose lasting tasks were interrupted first,
 // then by rank, then by acceptance.
 func compareRanks(a, b *job) int {
-	if a.queue.Priority != b.queue.Priority {
-		return cmp.Compare(a.queue.Priority, b.queue.Priority)
-	}
-	if a.missed != b.missed {
-		return cmp.Compare(asInt(b.missed), asInt(a.missed))
-	}
-	return cmp.Or(cmp.Compare(a.rank.Class, b.rank.Class), cmp.Compare(a.rank.Score, b.rank.Score), cmp.Compare(a.sequence, b.sequence))
+	return cmp.Or(
+		cmp.Compare(a.queue.Priority, b.queue.Priority),
+		cmp.Compare(asInt(b.missed), asInt(a.missed)),
+		cmp.Compare(a.rank.Class, b.rank.Class),
+		cmp.Compare(a.rank.Score, b.rank.Score),
+		cmp.Compare(a.sequence, b.sequence),
+	)
 }
 
 func asInt(b bool) int {
