--- a/workflow.go
+++ b/workflow.go
@@ -18,8 +18,6 @@
 	Label string
 	// RunNumber counts the starts of one task, from 1.
 	RunNumber uint32
-	// Checkpoint is a worker's text from which a task can be continued; empty is none.
-	Checkpoint string
 )
 
 // Workflow is a job of dependent steps as its client submits it.
