--- a/checkpoint_test.go
+++ b/checkpoint_test.go
@@ -1,6 +1,7 @@
 package cottonlanding_test
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,10 +12,11 @@
 // TestCheckpointIsKeptWholeOrNotAtAll: a run that continues from a text with a piece replaced
 // doesn't continue its task's work.
 func TestCheckpointIsKeptWholeOrNotAtAll(t *testing.T) {
-	for _, text := range []cottonlanding.Checkpoint{"", "000003e8482de2d0", "<\"\\\x00\u2028\U0001F33E>"} {
+	longest := cottonlanding.Checkpoint(strings.Repeat("c", cottonlanding.MaxCheckpoint))
+	for _, text := range []cottonlanding.Checkpoint{"", "000003e8482de2d0", longest, "<\"\\\x00\u2028\U0001F33E>"} {
 		require.Equal(t, text, text.Kept())
 	}
-	for _, text := range []cottonlanding.Checkpoint{"000003e8\ufffd", "\xff", "a\xed\xa0\x80"} {
+	for _, text := range []cottonlanding.Checkpoint{"000003e8\ufffd", "\xff", "a\xed\xa0\x80", longest + "c"} {
 		require.Empty(t, text.Kept(), "%q", text)
 	}
 }
