A state row leaves out the texts that don't fit into it

What callers saw: nothing yet; a workflow of many tasks with long texts stopped every decision of its cell.

Cause: all texts of a workflow stand in one row, and its length wasn't looked at.

Ruled out: a bound for each text that is low enough for a thousand of them. It would be some 20 bytes, and refuse texts that are kept well in smaller workflows.

Change: a row over 65,000 bytes is written without its longest checkpoints, as many as it takes. The owner goes on to bring them; its successor starts those tasks without one if their runs don't go on.

Why it holds: the longest go first, so that no long text costs a short one its place before all longer ones are gone. Rows that are too long without any text are written as they are, as before.

--- /dev/null
+++ b/internal/workflow/planner/fit.go
@@ -0,0 +1,41 @@
+package planner
+
+import (
+	"cmp"
+	"slices"
+)
+
+// maxStateRow is the longest state row that is written as it is, in bytes: the table takes
+// 64 KiB, with what it puts before the value.
+const maxStateRow = 65_000
+
+// encodeFitting encodes a state row so that the table takes it: an owner whose commit is
+// refused loses its cell. Checkpoints for which there is no room are left out, the longest
+// first. The next owner starts those tasks without one if their runs don't go on.
+func encodeFitting(row stateRow) []byte {
+	data := encode(row)
+	if excess := len(data) - maxStateRow; excess > 0 {
+		row.leaveOut(excess)
+		data = encode(row)
+	}
+	return data
+}
+
+// leaveOut drops the longest checkpoints until the row is that many bytes shorter, or has none.
+func (r stateRow) leaveOut(excess int) {
+	lengths := make([]int, len(r.Tasks))
+	longestFirst := make([]int, len(r.Tasks))
+	for at, task := range r.Tasks {
+		lengths[at] = len(encode(task.Checkpoint))
+		longestFirst[at] = at
+	}
+	slices.SortStableFunc(longestFirst, func(a, b int) int { return cmp.Compare(lengths[b], lengths[a]) })
+	empty := len(encode(""))
+	for _, at := range longestFirst {
+		if excess <= 0 {
+			return
+		}
+		excess -= lengths[at] - empty
+		r.Tasks[at].Checkpoint = ""
+	}
+}
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -166,7 +166,7 @@
 	if !j.committed {
 		plan.Writes = append(plan.Writes, cottonlanding.Write{Key: spec, Value: encode(specRow{j.Workflow, j.queue}), Unchecked: true})
 	}
-	plan.Writes = append(plan.Writes, cottonlanding.Write{Key: state, Expect: j.version, Value: encode(j.row()), Unchecked: true})
+	plan.Writes = append(plan.Writes, cottonlanding.Write{Key: state, Expect: j.version, Value: encodeFitting(j.row()), Unchecked: true})
 	j.eachTask(func(t *task) {
 		if t.run != nil && t.run.phase == planned {
 			plan.runs = append(plan.runs, t.run)
