Test: a transaction must not be larger than the table takes, red

What callers saw: nothing yet. A plan is bounded by its number of rows. The table also bounds a transaction's bytes, and an owner whose commit is refused loses its cell.

Measured: 40 workflows of 1,000 tasks with the usual checkpoints, cancelled at once, make a transaction of 1,670,240 bytes; the table takes 1 MB.

--- /dev/null
+++ b/internal/workflow/planner/fit_test.go
@@ -0,0 +1,56 @@
+package planner_test
+
+import (
+	"encoding/base64"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/policy/selector"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+const (
+	// maxTransaction is what the table takes at once, in bytes, with values in base64.
+	maxTransaction = 1_000_000
+	// entryOverhead is more than what an entry takes beside its value.
+	entryOverhead = 300
+)
+
+// TestManyLargeRowsAreCommittedInTurn: where many large workflows change at once, here by their
+// clients' cancelling them, their rows together are more than the table takes in one
+// transaction. An owner whose commit is refused loses its cell, and the next one has the same
+// rows to write, as soon as the clients ask again.
+func TestManyLargeRowsAreCommittedInTurn(t *testing.T) {
+	const workflows, tasks = 40, 1000
+	cell := planner.New(planner.Setup{Partition: partition, Epoch: 2}, timing, selector.Default().Planner, quiet())
+	var specs, states []cottonlanding.Row
+	for at := range workflows {
+		id := cottonlanding.WorkflowID(fmt.Sprintf("w%d", at))
+		spec := fmt.Sprintf(`{"Workflow":{"ID":"%s","Queue":"Urgent","Steps":[{"Tasks":%d,"Resources":{"CPU":100}}]},"Queue":{"Name":"Urgent"}}`, id, tasks)
+		task := `["",3,"",0,"000003e8482de2d0"],`
+		state := `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[` + strings.TrimSuffix(strings.Repeat(task, tasks), ",") + `]}`
+		specs = append(specs, cottonlanding.Row{Key: planner.SpecKey(partition, id), Version: 1, Value: []byte(spec)})
+		states = append(states, cottonlanding.Row{Key: planner.StateKey(partition, id), Version: 1, Value: []byte(state)})
+	}
+	require.NoError(t, cell.Load(specs, states, 1000))
+	cancelled := 0
+	for at := range workflows {
+		cell.Cancel(cottonlanding.WorkflowID(fmt.Sprintf("w%d", at)), 1000, func(err error) {
+			require.NoError(t, err)
+			cancelled++
+		})
+	}
+	for plan := cell.Plan(1000); plan != nil; plan = cell.Plan(1000) {
+		size := 0
+		for _, write := range plan.Writes {
+			size += base64.StdEncoding.EncodedLen(len(write.Value)) + entryOverhead
+		}
+		require.LessOrEqual(t, size, maxTransaction)
+		cell.Committed(plan, 2)
+	}
+	require.Equal(t, workflows, cancelled)
+}
