A plan is bounded by its bytes too

What callers saw: nothing yet; a cell whose large workflows change at once lost its owner, and the next one could come to the same transaction.

Cause: a plan was bounded by its number of rows alone. 25 rows of 1,000 tasks that have checkpoints are more than the table takes at once.

Ruled out: to split a transaction in the committer. What a plan holds must be committed together, and the next plan takes what is left as it always did.

Change: nothing large is added to a plan of 550,000 bytes or more. Referrals and what was learnt of images count too.

Why it holds: behind the bound come one job, whose state has 65,000 bytes at most where texts are what makes it long, and what was learnt, at most 32 KiB.

--- a/internal/workflow/planner/learnt.go
+++ b/internal/workflow/planner/learnt.go
@@ -110,5 +110,5 @@
 		return
 	}
 	plan.learnt = true
-	plan.Writes = append(plan.Writes, cottonlanding.Write{Key: LearntKey(c.setup.Partition), Expect: c.learntVersion, Value: value, Unchecked: true})
+	plan.add(cottonlanding.Write{Key: LearntKey(c.setup.Partition), Expect: c.learntVersion, Value: value, Unchecked: true})
 }
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -16,6 +16,9 @@
 	// writesPerPlan bounds the rows of one transaction, below the table's 100 entries:
 	// the guard, the lane and what was learnt of images take five.
 	writesPerPlan = 90
+	// bytesPerPlan is how long the values of a plan get before nothing large is added: in
+	// base64, with another job and what was learnt, they stay below the table's 1 MB.
+	bytesPerPlan = 550_000
 	// writesPerJob is the most rows that one job takes.
 	writesPerJob = 2
 	// overdueAfter is how many plans a change may be left out of before it goes first,
@@ -93,6 +96,21 @@
 	referred []cottonlanding.WorkflowID
 	// learnt says that the row of what was learnt of images is among the writes.
 	learnt bool
+	// size is the length of all values.
+	size int
+}
+
+// hasRoom reports whether another few rows can go into the plan.
+func (p *Plan) hasRoom(writes int) bool {
+	return len(p.Writes)+writes <= writesPerPlan && p.size < bytesPerPlan
+}
+
+// add puts rows into the plan and counts what they take.
+func (p *Plan) add(writes ...cottonlanding.Write) {
+	p.Writes = append(p.Writes, writes...)
+	for _, write := range writes {
+		p.size += len(write.Value)
+	}
 }
 
 func (p *Plan) includes(id cottonlanding.WorkflowID) bool {
@@ -112,7 +130,7 @@
 	plan := &Plan{Checks: []cottonlanding.Check{c.setup.Guard}}
 	c.planReferrals(plan)
 	for _, id := range c.dirtyInOrder() {
-		if len(plan.Writes)+writesPerJob > writesPerPlan {
+		if !plan.hasRoom(writesPerJob) {
 			break
 		}
 		c.planJob(plan, c.dirty[id], now)
@@ -158,15 +176,15 @@
 	plan.states = append(plan.states, j.state)
 	plan.deleted = append(plan.deleted, gone)
 	if gone {
-		plan.Writes = append(plan.Writes,
+		plan.add(
 			cottonlanding.Write{Key: spec, Expect: j.specVersion, Delete: true, Unchecked: true},
 			cottonlanding.Write{Key: state, Expect: j.version, Delete: true, Unchecked: true})
 		return
 	}
 	if !j.committed {
-		plan.Writes = append(plan.Writes, cottonlanding.Write{Key: spec, Value: encode(specRow{j.Workflow, j.queue}), Unchecked: true})
+		plan.add(cottonlanding.Write{Key: spec, Value: encode(specRow{j.Workflow, j.queue}), Unchecked: true})
 	}
-	plan.Writes = append(plan.Writes, cottonlanding.Write{Key: state, Expect: j.version, Value: encodeFitting(j.row()), Unchecked: true})
+	plan.add(cottonlanding.Write{Key: state, Expect: j.version, Value: encodeFitting(j.row()), Unchecked: true})
 	j.eachTask(func(t *task) {
 		if t.run != nil && t.run.phase == planned {
 			plan.runs = append(plan.runs, t.run)
--- a/internal/workflow/planner/referral.go
+++ b/internal/workflow/planner/referral.go
@@ -99,10 +99,10 @@
 // planReferrals adds referrals to a plan, as many as fit.
 func (c *Cell) planReferrals(plan *Plan) {
 	for _, id := range slices.Sorted(maps.Keys(c.unwritten)) {
-		if len(plan.Writes)+writesPerReferral > writesPerPlan {
+		if !plan.hasRoom(writesPerReferral) {
 			return
 		}
-		plan.Writes = append(plan.Writes, c.referralWrites(id)...)
+		plan.add(c.referralWrites(id)...)
 		plan.referred = append(plan.referred, id)
 		plan.replies = append(plan.replies, c.unwritten[id]...)
 		delete(c.unwritten, id)
