Test: a step that doesn't checkpoint has no texts

Workers of the test world may list texts now, each another one, and each start is held against them: its text is none, or one that a run of this task has listed; none for a step that doesn't checkpoint; the same for all starts of a run, and for all members of a gang.

Seen: the second run of a task that failed brings the text with which its first one was listed, and a run brings the text of its row, both of a step that doesn't checkpoint.

--- /dev/null
+++ b/internal/workflow/planner/checkpoint_test.go
@@ -0,0 +1,168 @@
+package planner_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// textBook has workers list a text for each run, each time another one, whether or not its
+// step checkpoints, and holds each start against what they have listed.
+type textBook struct {
+	// saved and gangs say of each workflow which of its steps checkpoint and which are gangs.
+	saved, gangs map[cottonlanding.WorkflowID][]bool
+	listed       map[cottonlanding.TaskRef]map[cottonlanding.Checkpoint]bool
+	// lists counts the lists in which a run went on.
+	lists map[cottonlanding.RunKey]int
+	// brought is what the starts of a run bring; the members of a gang have one entry.
+	brought map[cottonlanding.RunKey]cottonlanding.Checkpoint
+	faults  []string
+}
+
+func newTextBook() *textBook {
+	return &textBook{
+		saved:   make(map[cottonlanding.WorkflowID][]bool),
+		gangs:   make(map[cottonlanding.WorkflowID][]bool),
+		listed:  make(map[cottonlanding.TaskRef]map[cottonlanding.Checkpoint]bool),
+		lists:   make(map[cottonlanding.RunKey]int),
+		brought: make(map[cottonlanding.RunKey]cottonlanding.Checkpoint),
+	}
+}
+
+// submitSaved hands a workflow in and notes which of its steps checkpoint.
+func (w *world) submitSaved(id cottonlanding.WorkflowID, steps ...cottonlanding.Step) {
+	for _, step := range steps {
+		w.texts.saved[id] = append(w.texts.saved[id], step.Checkpoints)
+		w.texts.gangs[id] = append(w.texts.gangs[id], step.Gang)
+	}
+	w.submit(id, "Urgent", steps...)
+}
+
+// fill puts texts into the answer of a worker. A run that goes on has none the first time it
+// is listed.
+func (b *textBook) fill(report *cottonlanding.RunReport) {
+	if b == nil {
+		return
+	}
+	slices.SortFunc(report.Running, func(x, y cottonlanding.RunProgress) int {
+		return cmp.Compare(x.Task.String(), y.Task.String())
+	})
+	for at := range report.Running {
+		p := &report.Running[at]
+		if b.lists[p.RunKey]++; b.lists[p.RunKey] > 1 {
+			p.Checkpoint = b.list(p.RunKey, fmt.Sprintf("%d/%d", report.Born, b.lists[p.RunKey]))
+		}
+	}
+	for at := range report.Ended {
+		e := &report.Ended[at]
+		e.Checkpoint = b.list(e.RunKey, fmt.Sprintf("%d/end", report.Born))
+	}
+}
+
+func (b *textBook) list(key cottonlanding.RunKey, when string) cottonlanding.Checkpoint {
+	text := cottonlanding.Checkpoint(fmt.Sprintf("%s#%d/%s", key.Task, key.Number, when))
+	if b.listed[key.Task] == nil {
+		b.listed[key.Task] = make(map[cottonlanding.Checkpoint]bool)
+	}
+	b.listed[key.Task][text] = true
+	return text
+}
+
+// noteOrder holds a start against what was listed and against the other starts of its run.
+func (b *textBook) noteOrder(order planner.Order) {
+	if b == nil || order.Verb != planner.VerbStart {
+		return
+	}
+	key, text := order.Start.RunKey, order.Start.Checkpoint
+	gang := marked(b.gangs, key.Task)
+	switch {
+	case text == "":
+	case !marked(b.saved, key.Task):
+		b.fault("run %d of %s brings %q, and its step doesn't checkpoint", key.Number, key.Task, text)
+	case !b.knows(key.Task, gang, text):
+		b.fault("run %d of %s brings %q, which no run of it has listed", key.Number, key.Task, text)
+	}
+	if gang {
+		key.Task.Index = 0
+	}
+	if before, found := b.brought[key]; found && before != text {
+		b.fault("run %d of %s brings %q, and a start of that run before brought %q", key.Number, order.Start.Task, text, before)
+	}
+	b.brought[key] = text
+}
+
+// marked reports what a list says of a task's step.
+func marked(of map[cottonlanding.WorkflowID][]bool, task cottonlanding.TaskRef) bool {
+	return task.Step < len(of[task.Workflow]) && of[task.Workflow][task.Step]
+}
+
+// knows reports whether a run of the task has listed a text, or of its gang.
+func (b *textBook) knows(task cottonlanding.TaskRef, gang bool, text cottonlanding.Checkpoint) bool {
+	for other, texts := range b.listed {
+		if gang {
+			other.Index = task.Index
+		}
+		if other == task && texts[text] {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *textBook) fault(format string, values ...any) {
+	b.faults = append(b.faults, fmt.Sprintf(format, values...))
+}
+
+// savedWorld is a world whose workers list texts.
+func savedWorld(t require.TestingT) *world {
+	w := newSpreadWorld(t)
+	w.texts = newTextBook()
+	for range 3 {
+		w.turn(turnSpan)
+	}
+	return w
+}
+
+// saving is quick for a step that checkpoints.
+func saving(tasks int) cottonlanding.Step {
+	step := quick(tasks)
+	step.Checkpoints = true
+	return step
+}
+
+// loadRow has the next owner take in one workflow in a given state.
+func (w *world) loadRow(id cottonlanding.WorkflowID, state string, step cottonlanding.Step) {
+	w.submitSaved(id, step)
+	w.commit()
+	row := w.rows[planner.StateKey(partition, id)]
+	row.Value = []byte(state)
+	w.rows[row.Key] = row
+	w.takeOver()
+}
+
+// A text from which to continue is listed with each run, and the page that describes workers
+// says it is made only by those tasks that checkpoint. The planner kept whatever text a
+// list held, and the next start brought it, also of a step that doesn't checkpoint: there a
+// start that brings any text is one that nobody asked for.
+func TestOnlyStepsThatCheckpointHaveTexts(t *testing.T) {
+	t.Run("listed", func(t *testing.T) {
+		w := savedWorld(t)
+		w.submitSaved("again", quick(2), saving(1))
+		w.play(10 * cottonlanding.Second)
+		require.Empty(t, w.texts.faults)
+		require.NotEmpty(t, w.texts.brought[cottonlanding.RunKey{Task: cottonlanding.TaskRef{Workflow: "again", Step: 1}, Number: 2}])
+	})
+	t.Run("in the row", func(t *testing.T) {
+		w := savedWorld(t)
+		w.loadRow("b", `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[["",1,"",0,"text"]]}`, quick(1))
+		w.play(5 * cottonlanding.Second)
+		require.Empty(t, w.texts.faults)
+		require.Equal(t, 1, w.runner.Starts())
+	})
+}
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -28,6 +28,14 @@
 // failingLasting is a workflow of lasting tasks of which each fifth fails once.
 const failingLasting cottonlanding.WorkflowID = "lastingFails"
 
+// againPrefix begins the ids of workflows whose tasks fail againFails times, each time after
+// againLasts.
+const (
+	againPrefix                         = "again"
+	againFails  cottonlanding.RunNumber = 2
+	againLasts                          = 250 * cottonlanding.Millis(1)
+)
+
 func TestMain(m *testing.M) {
 	flag.Parse()
 	if flag.Lookup("rapid.seed").Value.String() == "0" {
@@ -64,6 +72,8 @@
 	// that takes.
 	culprits   map[cottonlanding.TaskRef]bool
 	crashAfter cottonlanding.Millis
+	// texts has workers list checkpoints and watches what starts bring, unless it is nil.
+	texts *textBook
 }
 
 func newWorld(t require.TestingT) *world { return newWorldOf(t, selector.Default().Planner) }
@@ -98,6 +108,9 @@
 		}
 		fails := index%5 == 4 && key.Number == 1
 		forever := key.Task.Workflow[0] == 'l' && !(fails && key.Task.Workflow == failingLasting)
+		if strings.HasPrefix(string(key.Task.Workflow), againPrefix) {
+			return runner.Fate{Lasts: againLasts, Fails: key.Number <= againFails}
+		}
 		if w.culprits[key.Task] {
 			return runner.Fate{Lasts: w.crashAfter, Crashes: true}
 		}
@@ -205,6 +218,7 @@
 func (w *world) orders(fault func() string) {
 	for _, order := range w.cell.Orders(w.now) {
 		order.SentAt = w.now
+		w.texts.noteOrder(order)
 		var reading cottonlanding.Reading
 		err := error(cottonlanding.ErrAmbiguous)
 		switch fault() {
@@ -235,6 +249,7 @@
 		w.cell.LookFailed(next, err, w.now)
 		return
 	}
+	w.texts.fill(&report)
 	w.cell.Looked(next, report, w.now, w.now)
 }
 
