A step that doesn't checkpoint has no texts

What callers saw: a start of a task of such a step brings a text, if a worker lists one for its run or the task's row holds one.

Cause: the planner kept whatever text was listed for any run, in two places, and asked nowhere whether the step checkpoints.

Change: which text a next start may bring is decided in one file, checkpoint.go. A text counts if the step checkpoints and the run is the one that its task has at that moment; the text of a row counts by the same question.

--- /dev/null
+++ b/internal/workflow/planner/checkpoint.go
@@ -0,0 +1,29 @@
+package planner
+
+import "github.com/cottonlanding/cottonlanding"
+
+// A checkpoint is a text in which a worker says from where a task can be continued, and which a
+// later start brings. Which text that is, is decided here alone:
+//
+//   - Only tasks of steps that checkpoint have texts. What is listed for others, or stands in
+//     their rows, counts for nothing.
+//   - A text counts if it is of the run that the task has at that moment, which this owner has
+//     placed or has taken over with the task's row, however that run ends. What is listed of
+//     an orphan, of a run that was given up, or of a task that is done doesn't count. An empty
+//     text takes nothing away.
+
+// noteCheckpoint takes in the text that a worker lists for a run.
+func (r *run) noteCheckpoint(text cottonlanding.Checkpoint) {
+	t := r.task
+	if text == "" || t == nil || t.run != r || t.state == taskDone || !t.stage.Checkpoints {
+		return
+	}
+	t.checkpoint = text
+}
+
+// loadCheckpoint takes in the text of the task's row.
+func (t *task) loadCheckpoint(text cottonlanding.Checkpoint) {
+	if t.stage.Checkpoints {
+		t.checkpoint = text
+	}
+}
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -187,7 +187,5 @@
 	}
 	r.percent = p.Percent
 	r.tail, r.used = p.Tail, p.Used
-	if r.task != nil && p.Checkpoint != "" {
-		r.task.checkpoint = p.Checkpoint
-	}
+	r.noteCheckpoint(p.Checkpoint)
 }
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -41,13 +41,11 @@
 	if t == nil || t.run != r {
 		return
 	}
+	r.noteCheckpoint(end.Checkpoint)
 	t.run = nil
 	if t.job.state.Final() {
 		return
 	}
-	if end.Checkpoint != "" {
-		t.checkpoint = end.Checkpoint
-	}
 	switch {
 	case end.Kind == cottonlanding.EndDone && !t.stage.Lasting:
 		w.health.noteSuccess(r, now)
