Test: a gang brings one text

All members of a gang must bring the same text, and that of any member serves. Seen: the second run of a gang of two brings two texts; a gang whose rows hold no text, one and another is started with these three, both when it waits and when it may have been started partly.

--- a/internal/workflow/planner/checkpoint_test.go
+++ b/internal/workflow/planner/checkpoint_test.go
@@ -136,9 +136,16 @@
 	return step
 }
 
+// savingGang is saving for a step whose tasks run only together.
+func savingGang(tasks int) cottonlanding.Step {
+	step := saving(tasks)
+	step.Gang = true
+	return step
+}
+
 // loadRow has the next owner take in one workflow in a given state.
-func (w *world) loadRow(id cottonlanding.WorkflowID, state string, step cottonlanding.Step) {
-	w.submitSaved(id, step)
+func (w *world) loadRow(id cottonlanding.WorkflowID, state string, steps ...cottonlanding.Step) {
+	w.submitSaved(id, steps...)
 	w.commit()
 	row := w.rows[planner.StateKey(partition, id)]
 	row.Value = []byte(state)
@@ -166,3 +173,46 @@
 		require.Equal(t, 1, w.runner.Starts())
 	})
 }
+
+// note takes a text for one that a run of the task has listed.
+func (b *textBook) note(task cottonlanding.TaskRef, text cottonlanding.Checkpoint) {
+	b.listed[task] = map[cottonlanding.Checkpoint]bool{text: true}
+}
+
+// The page that describes workers says that the text of any member serves for its gang, and
+// that all members must bring the same one. Each member brought its own: whatever it was
+// listed with last. So a gang that had listed texts was started with as many of them.
+func TestGangBringsOneText(t *testing.T) {
+	w := savedWorld(t)
+	w.submitSaved("again", savingGang(2))
+	w.play(10 * cottonlanding.Second)
+	require.Empty(t, w.texts.faults)
+	text := w.texts.brought[cottonlanding.RunKey{Task: first("again"), Number: 2}]
+	require.Contains(t, text, "again.0.0.1#1", "the second member's worker is asked last")
+	state, _ := w.cell.State("again")
+	require.Equal(t, cottonlanding.WorkflowSucceeded, state)
+}
+
+// The same through a change of owner: the rows that owners have written until now hold a text
+// of each member. Whether the gang waits or some of its starts may have gone out, the next
+// owner brings one of these texts for all.
+func TestGangOfRowsThatDifferBringsOneText(t *testing.T) {
+	for name, tasks := range map[string]string{
+		"waiting":  `["",1],["",1,"",0,"two"],["",1,"",0,"three"]`,
+		"one text": `["",1,"",0,"two"],["",1],["",1]`,
+		"placed":   `["A",1,"w1"],["A",1,"w2",0,"two"],["A",1,"w3",0,"three"]`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := savedWorld(t)
+			w.texts.note(cottonlanding.TaskRef{Workflow: "gang", Index: 1}, "two")
+			w.texts.note(cottonlanding.TaskRef{Workflow: "gang", Index: 2}, "three")
+			w.loadRow("gang", `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[`+tasks+`]}`, savingGang(3))
+			w.play(5 * cottonlanding.Second)
+			require.Empty(t, w.texts.faults)
+			require.NotEmpty(t, w.texts.brought)
+			for _, text := range w.texts.brought {
+				require.EqualValues(t, "two", text)
+			}
+		})
+	}
+}
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -28,11 +28,11 @@
 // failingLasting is a workflow of lasting tasks of which each fifth fails once.
 const failingLasting cottonlanding.WorkflowID = "lastingFails"
 
-// againPrefix begins the ids of workflows whose tasks fail againFails times, each time after
-// againLasts.
+// againPrefix begins the ids of workflows whose tasks last againLasts; their first againFails runs
+// fail.
 const (
 	againPrefix                         = "again"
-	againFails  cottonlanding.RunNumber = 2
+	againFails  cottonlanding.RunNumber = 1
 	againLasts                          = 250 * cottonlanding.Millis(1)
 )
 
