All members of a gang bring one text

What callers saw: a gang that has listed texts is started with as many of them, though all its members must bring the same one.

Cause: each task kept its own text, also where it is a member of a gang.

Change: a gang's text is kept under its first task, whichever member listed it last. Its row holds the text once instead of once a member. Rows of owners before may hold several: the first counts.

--- a/internal/workflow/planner/checkpoint.go
+++ b/internal/workflow/planner/checkpoint.go
@@ -11,6 +11,16 @@
 //     placed or has taken over with the task's row, however that run ends. What is listed of
 //     an orphan, of a run that was given up, or of a task that is done doesn't count. An empty
 //     text takes nothing away.
+//   - A gang has one text, whichever member listed it last, and all members bring it.
+
+// keeper returns the task that holds the text: for a gang its first one, whichever listed it,
+// so that there is one of them in memory and in the row.
+func (t *task) keeper() *task {
+	if t.stage.Gang {
+		return t.stage.tasks[0]
+	}
+	return t
+}
 
 // noteCheckpoint takes in the text that a worker lists for a run.
 func (r *run) noteCheckpoint(text cottonlanding.Checkpoint) {
@@ -18,12 +28,13 @@
 	if text == "" || t == nil || t.run != r || t.state == taskDone || !t.stage.Checkpoints {
 		return
 	}
-	t.checkpoint = text
+	t.keeper().checkpoint = text
 }
 
-// loadCheckpoint takes in the text of the task's row.
+// loadCheckpoint takes in the text of the task's row. The rows of a gang may hold several, of
+// which the first counts: owners before have kept one for each member.
 func (t *task) loadCheckpoint(text cottonlanding.Checkpoint) {
-	if t.stage.Checkpoints {
-		t.checkpoint = text
+	if k := t.keeper(); t.stage.Checkpoints && k.checkpoint == "" {
+		k.checkpoint = text
 	}
 }
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -77,9 +77,10 @@
 	stage *stage
 	state taskState
 	// number is that of the last run, zero before the first.
-	number     cottonlanding.RunNumber
-	failures   int
-	crashes    cottonlanding.CrashRecord
+	number   cottonlanding.RunNumber
+	failures int
+	crashes  cottonlanding.CrashRecord
+	// checkpoint is the newest text of the task, or of its gang: see keeper.
 	checkpoint cottonlanding.Checkpoint
 	// life is where the last run was placed.
 	life cottonlanding.Life
