Test: a repeated start brings the text of its run

One member of a gang has begun and lists texts, the starts of the other are lost: each repeat brings another text. Once a member is done, a repeat brings none at all.

--- a/internal/workflow/planner/checkpoint_test.go
+++ b/internal/workflow/planner/checkpoint_test.go
@@ -179,6 +179,29 @@
 	b.listed[task] = map[cottonlanding.Checkpoint]bool{text: true}
 }
 
+// ordersWithout is orders with the starts of one task lost.
+func (w *world) ordersWithout(task cottonlanding.TaskRef) {
+	due := w.cell.Orders(w.now)
+	for _, order := range due {
+		order.SentAt = w.now
+		w.texts.noteOrder(order)
+		if order.Start.Task == task {
+			w.cell.Ordered(order, 0, cottonlanding.ErrAmbiguous, w.now)
+			continue
+		}
+		reading, err := w.send(order)
+		w.cell.Ordered(order, reading, err, w.now)
+	}
+}
+
+// turnWithout is turn with the starts of one task lost.
+func (w *world) turnWithout(task cottonlanding.TaskRef) {
+	w.now += turnSpan
+	w.commit()
+	w.ordersWithout(task)
+	w.lookAll()
+}
+
 // The page that describes workers says that the text of any member serves for its gang, and
 // that all members must bring the same one. Each member brought its own: whatever it was
 // listed with last. So a gang that had listed texts was started with as many of them.
@@ -216,3 +239,43 @@
 		})
 	}
 }
+
+// partlyStarted returns a world in which one member of a gang goes on and has listed texts, and
+// each start of the other was lost.
+func partlyStarted(t require.TestingT) *world {
+	w := savedWorld(t)
+	w.texts.note(first("slow"), "one")
+	w.loadRow("slow", `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[["",1,"",0,"one"],["",1]]}`, savingGang(2))
+	for range 20 {
+		w.turnWithout(cottonlanding.TaskRef{Workflow: "slow", Index: 1})
+	}
+	require.Equal(t, 1, w.runner.Starts())
+	require.Greater(t, len(w.texts.listed[first("slow")]), 1, "the member that has begun lists texts")
+	return w
+}
+
+// A start that gets no answer is repeated, and each repeat read the gang's text anew. So one
+// run was started with the text that it was placed with and with those that a member which had
+// begun has listed since, while the members must all bring the same.
+func TestRepeatedStartBringsTheTextOfItsRun(t *testing.T) {
+	w := partlyStarted(t)
+	w.play(2 * cottonlanding.Second)
+	require.Equal(t, 2, w.runner.Starts())
+	require.Empty(t, w.texts.faults)
+}
+
+// A gang is done with its first member that is, and its texts are dropped. A start of another
+// member, to which there was no answer by then, was repeated without the text that the copies
+// before had brought.
+func TestRepeatedStartOfAGangThatIsDoneBringsItsText(t *testing.T) {
+	w := savedWorld(t)
+	w.texts.note(first("gang"), "one")
+	after := quick(10)
+	after.After = []int{0}
+	w.loadRow("gang", `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[["",1,"",0,"one"],["",1,"",0,"one"]]}`, savingGang(2), after)
+	for range 20 {
+		w.turnWithout(cottonlanding.TaskRef{Workflow: "gang", Index: 1})
+	}
+	require.Greater(t, w.runner.Starts(), 1, "the step after the gang has begun")
+	require.Empty(t, w.texts.faults)
+}
