Each start of a run brings the text that it was placed with

What callers saw: one run is started with several texts. It needs a gang, of which a member has begun and lists texts, or is done, while a start of another gets no answer.

Cause: each repeat read the newest text anew. A task without a gang can't show it: its own run alone lists texts, and no start is repeated once its run is listed.

Change: the text is fixed when a run is placed, or taken over with its row, beside the newest one, which is for the next run and for the row.

--- a/internal/workflow/planner/checkpoint.go
+++ b/internal/workflow/planner/checkpoint.go
@@ -12,9 +12,11 @@
 //     an orphan, of a run that was given up, or of a task that is done doesn't count. An empty
 //     text takes nothing away.
 //   - A gang has one text, whichever member listed it last, and all members bring it.
+//   - A run is started with the text that was the newest when it was placed, however often its
+//     start is repeated. What is listed since then is for the next run.
 
-// keeper returns the task that holds the text: for a gang its first one, whichever listed it,
-// so that there is one of them in memory and in the row.
+// keeper returns the task that holds the texts: for a gang its first one, whichever listed it,
+// so that all members have the same in memory and in the row.
 func (t *task) keeper() *task {
 	if t.stage.Gang {
 		return t.stage.tasks[0]
@@ -35,6 +37,16 @@
 // which the first counts: owners before have kept one for each member.
 func (t *task) loadCheckpoint(text cottonlanding.Checkpoint) {
 	if k := t.keeper(); t.stage.Checkpoints && k.checkpoint == "" {
-		k.checkpoint = text
+		k.checkpoint, k.resumeFrom = text, text
 	}
 }
+
+// fixCheckpoint has the run that is being placed begin with the newest text. The members of a
+// gang are placed at one instant, between two lists.
+func (t *task) fixCheckpoint() {
+	k := t.keeper()
+	k.resumeFrom = k.checkpoint
+}
+
+// startCheckpoint returns what each start of the task's present run brings.
+func (t *task) startCheckpoint() cottonlanding.Checkpoint { return t.keeper().resumeFrom }
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -80,8 +80,10 @@
 	number   cottonlanding.RunNumber
 	failures int
 	crashes  cottonlanding.CrashRecord
-	// checkpoint is the newest text of the task, or of its gang: see keeper.
+	// checkpoint is the newest text of the task or of its gang, resumeFrom the one with which
+	// its present run is started: see keeper.
 	checkpoint cottonlanding.Checkpoint
+	resumeFrom cottonlanding.Checkpoint
 	// life is where the last run was placed.
 	life cottonlanding.Life
 	run  *run
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -139,7 +139,7 @@
 		order.Verb = VerbStart
 		order.Start.Payload = r.task.job.Payload
 		order.Start.LeaseUntil = c.leaseUntil(w, now)
-		order.Start.Checkpoint = r.task.keeper().checkpoint
+		order.Start.Checkpoint = r.task.startCheckpoint()
 		r.phase = sent
 		r.sentAt = now
 		return order, true
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -148,6 +148,7 @@
 func (c *Cell) assign(t *task, w *worker, number cottonlanding.RunNumber, now cottonlanding.Millis) {
 	t.state, t.number, t.life = taskAssigned, number, w.life()
 	t.roomUntil = 0
+	t.fixCheckpoint()
 	key := cottonlanding.RunKey{Task: t.ref, Number: number}
 	t.run = &run{RunKey: key, task: t, worker: w, life: w, born: t.life.Born, step: t.stage.Step, pace: fullPace, paceGoal: fullPace, placedAt: now, moved: now}
 	w.addRun(t.run)
