Test: the next owner repeats a start with the text of its run

The row holds the newest text alone: a next owner repeats the lost start of a gang's member with a text that another member has listed since.

--- a/internal/workflow/planner/checkpoint_test.go
+++ b/internal/workflow/planner/checkpoint_test.go
@@ -241,11 +241,11 @@
 }
 
 // partlyStarted returns a world in which one member of a gang goes on and has listed texts, and
-// each start of the other was lost.
-func partlyStarted(t require.TestingT) *world {
+// each start of the other was lost. The first row is that of the gang's first task.
+func partlyStarted(t require.TestingT, firstRow string) *world {
 	w := savedWorld(t)
 	w.texts.note(first("slow"), "one")
-	w.loadRow("slow", `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[["",1,"",0,"one"],["",1]]}`, savingGang(2))
+	w.loadRow("slow", `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[`+firstRow+`,["",1]]}`, savingGang(2))
 	for range 20 {
 		w.turnWithout(cottonlanding.TaskRef{Workflow: "slow", Index: 1})
 	}
@@ -258,7 +258,7 @@
 // run was started with the text that it was placed with and with those that a member which had
 // begun has listed since, while the members must all bring the same.
 func TestRepeatedStartBringsTheTextOfItsRun(t *testing.T) {
-	w := partlyStarted(t)
+	w := partlyStarted(t, `["",1,"",0,"one"]`)
 	w.play(2 * cottonlanding.Second)
 	require.Equal(t, 2, w.runner.Starts())
 	require.Empty(t, w.texts.faults)
@@ -279,3 +279,32 @@
 	require.Greater(t, w.runner.Starts(), 1, "the step after the gang has begun")
 	require.Empty(t, w.texts.faults)
 }
+
+// The same with a change of owner before the repeat: the row held the newest text alone, so
+// that the next owner could not know which one the members that have begun had brought. That may
+// be none, and the first member, whose row has the texts, may have ended by then.
+func TestNextOwnerRepeatsAStartWithTheTextOfItsRun(t *testing.T) {
+	for name, one := range map[string]struct {
+		firstRow string
+		ends     bool
+	}{
+		"with a text":            {firstRow: `["",1,"",0,"one"]`},
+		"without":                {firstRow: `["",1]`},
+		"first member has ended": {firstRow: `["",1,"",0,"one"]`, ends: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := partlyStarted(t, one.firstRow)
+			if one.ends {
+				run := cottonlanding.RunKey{Task: first("slow"), Number: 2}
+				require.NoError(t, w.runner.Stop(t.Context(), cottonlanding.WorkerRef{Life: cottonlanding.Life{Worker: "w1"}}, run, w.epoch))
+				w.turnWithout(cottonlanding.TaskRef{Workflow: "slow", Index: 1})
+			}
+			w.cell.Touch("slow")
+			w.commit()
+			w.takeOver()
+			w.play(2 * cottonlanding.Second)
+			require.Equal(t, 2, w.runner.Starts())
+			require.Empty(t, w.texts.faults)
+		})
+	}
+}
--- a/internal/workflow/planner/export_test.go
+++ b/internal/workflow/planner/export_test.go
@@ -43,3 +43,6 @@
 	}
 	return out
 }
+
+// Touch has the row of a workflow written with the next plan.
+func (c *Cell) Touch(id cottonlanding.WorkflowID) { c.touch(c.jobs[id]) }
