The next owner repeats a start with the text of its run

What callers saw: after a change of owner one run of a gang is started with another text than before.

Cause: the row held the newest text alone. What a run that may have begun was started with is known to the owner before only.

Change: the row of a gang's first task holds, while a member is placed, what the present run is started with, if that isn't the newest text; it may be none. Rows of all other tasks are as long as before: the newest text of a task on its own differs only once its run was listed, and then a start of it isn't sent again, but where a worker's answer leaves out ends (500 and more); there it has ended and the start is refused.

--- a/internal/workflow/planner/checkpoint.go
+++ b/internal/workflow/planner/checkpoint.go
@@ -1,6 +1,10 @@
 package planner
 
-import "github.com/cottonlanding/cottonlanding"
+import (
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+)
 
 // A checkpoint is a text in which a worker says from where a task can be continued, and which a
 // later start brings. Which text that is, is decided here alone:
@@ -13,7 +17,7 @@
 //     text takes nothing away.
 //   - A gang has one text, whichever member listed it last, and all members bring it.
 //   - A run is started with the text that was the newest when it was placed, however often its
-//     start is repeated. What is listed since then is for the next run.
+//     start is repeated, and by whichever owner. What is listed since then is for the next run.
 
 // keeper returns the task that holds the texts: for a gang its first one, whichever listed it,
 // so that all members have the same in memory and in the row.
@@ -33,12 +37,31 @@
 	t.keeper().checkpoint = text
 }
 
-// loadCheckpoint takes in the text of the task's row. The rows of a gang may hold several, of
+// loadCheckpoint takes in the texts of the task's row. The rows of a gang may hold several, of
 // which the first counts: owners before have kept one for each member.
-func (t *task) loadCheckpoint(text cottonlanding.Checkpoint) {
-	if k := t.keeper(); t.stage.Checkpoints && k.checkpoint == "" {
-		k.checkpoint, k.resumeFrom = text, text
+func (t *task) loadCheckpoint(row taskRow) {
+	k := t.keeper()
+	if !t.stage.Checkpoints || k.checkpoint != "" {
+		return
+	}
+	k.checkpoint, k.resumeFrom = row.Checkpoint, row.Checkpoint
+	if row.ResumeFrom != nil {
+		k.resumeFrom = *row.ResumeFrom
+	}
+}
+
+// rowResumeFrom returns the text that the task's row must hold beside the newest one, or nil:
+// a start of another member may be repeated by the next owner. A task without a gang needs
+// none, since the newest text differs only once its own run was listed, and is then the one to
+// go on with.
+func (t *task) rowResumeFrom() *cottonlanding.Checkpoint {
+	if !t.stage.Gang || t.resumeFrom == t.checkpoint {
+		return nil
+	}
+	if !slices.ContainsFunc(t.stage.tasks, func(member *task) bool { return member.state == taskAssigned }) {
+		return nil
 	}
+	return &t.resumeFrom
 }
 
 // fixCheckpoint has the run that is being placed begin with the newest text. The members of a
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -79,7 +79,7 @@
 
 func (c *Cell) loadTask(t *task, row taskRow, now cottonlanding.Millis) {
 	t.state, t.number, t.failures, t.life = row.State, row.Number, row.Failures, row.Life
-	t.loadCheckpoint(row.Checkpoint)
+	t.loadCheckpoint(row)
 	t.crashes = cottonlanding.CrashRecord{Losses: row.Losses, Crashes: row.Crashes}
 	switch t.state {
 	case taskDone:
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -59,12 +59,14 @@
 	// Losses and Crashes are the task's CrashRecord.
 	Losses  int
 	Crashes int
+	// ResumeFrom is what the present run of a gang is started with, if that isn't Checkpoint.
+	ResumeFrom *cottonlanding.Checkpoint
 }
 
 // MarshalJSON writes the fields in order.
 func (r taskRow) MarshalJSON() ([]byte, error) {
-	fields := []any{r.State, r.Number, r.Life.String(), r.Failures, r.Checkpoint, r.Losses, r.Crashes}
-	set := []bool{r.State != taskWaiting, r.Number > 0, r.Life.Worker != "", r.Failures > 0, r.Checkpoint != "", r.Losses > 0, r.Crashes > 0}
+	fields := []any{r.State, r.Number, r.Life.String(), r.Failures, r.Checkpoint, r.Losses, r.Crashes, r.ResumeFrom}
+	set := []bool{r.State != taskWaiting, r.Number > 0, r.Life.Worker != "", r.Failures > 0, r.Checkpoint != "", r.Losses > 0, r.Crashes > 0, r.ResumeFrom != nil}
 	for len(set) > 0 && !set[len(set)-1] {
 		set = set[:len(set)-1]
 	}
@@ -73,7 +75,7 @@
 
 // UnmarshalJSON reads what MarshalJSON wrote.
 func (r *taskRow) UnmarshalJSON(data []byte) error {
-	fields := []any{&r.State, &r.Number, &r.Life, &r.Failures, &r.Checkpoint, &r.Losses, &r.Crashes}
+	fields := []any{&r.State, &r.Number, &r.Life, &r.Failures, &r.Checkpoint, &r.Losses, &r.Crashes, &r.ResumeFrom}
 	return json.Unmarshal(data, &fields)
 }
 
@@ -182,7 +184,7 @@
 		return row
 	}
 	j.eachTask(func(t *task) {
-		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.life, t.failures, t.checkpoint, t.crashes.Losses, t.crashes.Crashes})
+		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.life, t.failures, t.checkpoint, t.crashes.Losses, t.crashes.Crashes, t.rowResumeFrom()})
 	})
 	return row
 }
--- a/internal/workflow/planner/rows_fuzz_test.go
+++ b/internal/workflow/planner/rows_fuzz_test.go
@@ -14,6 +14,8 @@
 	spec := []byte(`{"Workflow":{"ID":"w","Queue":"Urgent","Steps":[{"Tasks":2,"Resources":{"CPU":100}}]},"Queue":{"Name":"Urgent","Service":"S"}}`)
 	f.Add(spec, []byte(`{"State":"Running","Begun":true,"Rounds":1,"Tasks":[["A",3,"w1",0,"",2,1],["D"]]}`))
 	f.Add(spec, []byte(`{"State":"Running","Tasks":[["A",3,"w1"],["",1,"",1,"c"]]}`))
+	f.Add([]byte(`{"Workflow":{"ID":"w","Queue":"Urgent","Steps":[{"Tasks":2,"Gang":true,"Checkpoints":true}]}}`),
+		[]byte(`{"State":"Running","Tasks":[["A",3,"w1",0,"c",0,0,""],["A",3,"w2"]]}`))
 	f.Add(spec, []byte(`{"State":"Pending","Tasks":[[7]]}`))
 	f.Add([]byte(`{}`), []byte(`{}`))
 	f.Fuzz(func(t *testing.T, spec, state []byte) {
