A search of which texts starts bring

All interleavings of the steps of the search of lives, and of two more that tell the members of a gang apart, with a task and a gang that checkpoint and a task that doesn't, from their first runs and from their second ones. The state that is compared has the texts in it.

Runs that end at one instant on one worker are listed in any order by the stand-in, so that a path may lead elsewhere when it is played again; one that can't be played any more is dropped (a late order that wasn't there panicked at depth 6).

--- a/internal/workflow/planner/checkpoint_test.go
+++ b/internal/workflow/planner/checkpoint_test.go
@@ -12,13 +12,16 @@
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
+// mostTexts is how many texts a run makes before its end.
+const mostTexts = 3
+
 // textBook has workers list a text for each run, each time another one, whether or not its
 // step checkpoints, and holds each start against what they have listed.
 type textBook struct {
 	// saved and gangs say of each workflow which of its steps checkpoint and which are gangs.
 	saved, gangs map[cottonlanding.WorkflowID][]bool
 	listed       map[cottonlanding.TaskRef]map[cottonlanding.Checkpoint]bool
-	// lists counts the lists in which a run went on.
+	// lists counts the lists in which a run went on, up to one more than mostTexts.
 	lists map[cottonlanding.RunKey]int
 	// brought is what the starts of a run bring; the members of a gang have one entry.
 	brought map[cottonlanding.RunKey]cottonlanding.Checkpoint
@@ -55,7 +58,8 @@
 	})
 	for at := range report.Running {
 		p := &report.Running[at]
-		if b.lists[p.RunKey]++; b.lists[p.RunKey] > 1 {
+		b.lists[p.RunKey] = min(b.lists[p.RunKey], mostTexts) + 1
+		if b.lists[p.RunKey] > 1 {
 			p.Checkpoint = b.list(p.RunKey, fmt.Sprintf("%d/%d", report.Born, b.lists[p.RunKey]))
 		}
 	}
@@ -115,6 +119,14 @@
 	return false
 }
 
+// fingerprint describes what starts brought and what is to be listed.
+func (b *textBook) fingerprint() string {
+	if b == nil {
+		return ""
+	}
+	return fmt.Sprint(b.brought, b.lists)
+}
+
 func (b *textBook) fault(format string, values ...any) {
 	b.faults = append(b.faults, fmt.Sprintf(format, values...))
 }
@@ -179,17 +191,16 @@
 	b.listed[task] = map[cottonlanding.Checkpoint]bool{text: true}
 }
 
-// ordersWithout is orders with the starts of one task lost.
-func (w *world) ordersWithout(task cottonlanding.TaskRef) {
-	due := w.cell.Orders(w.now)
-	for _, order := range due {
+// ordersBut sends all due orders but those that are lost.
+func (w *world) ordersBut(lost func(planner.Order) bool) {
+	for _, order := range w.cell.Orders(w.now) {
 		order.SentAt = w.now
 		w.texts.noteOrder(order)
-		if order.Start.Task == task {
-			w.cell.Ordered(order, 0, cottonlanding.ErrAmbiguous, w.now)
-			continue
+		var reading cottonlanding.Reading
+		err := error(cottonlanding.ErrAmbiguous)
+		if !lost(order) {
+			reading, err = w.send(order)
 		}
-		reading, err := w.send(order)
 		w.cell.Ordered(order, reading, err, w.now)
 	}
 }
@@ -198,7 +209,7 @@
 func (w *world) turnWithout(task cottonlanding.TaskRef) {
 	w.now += turnSpan
 	w.commit()
-	w.ordersWithout(task)
+	w.ordersBut(func(order planner.Order) bool { return order.Start.Task == task })
 	w.lookAll()
 }
 
--- /dev/null
+++ b/internal/workflow/planner/checkpointsearch_test.go
@@ -0,0 +1,63 @@
+package planner_test
+
+import (
+	"flag"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// The search of texts plays the steps of the search of lives, and some more, with workers that
+// list texts for all runs, a task and a gang that checkpoint, and a task that doesn't.
+//
+//	go test ./internal/workflow/planner -run TestSearchOfTexts -texts.depth 6 -search.within 10m
+
+var textsDepth = flag.Int("texts.depth", 4, "how many steps TestSearchOfTexts plays at most")
+
+// textSteps are searchSteps and those that tell the members of a gang apart.
+var textSteps = append([]searchStep{
+	{name: "orders to w1 lost", do: func(s *searchWorld) {
+		s.ordersBut(func(order planner.Order) bool { return order.Worker.Life.Worker == "w1" })
+	}},
+	{name: "row written", do: func(s *searchWorld) { s.touchAll() }},
+}, searchSteps...)
+
+// touchAll has the rows of all workflows written.
+func (s *searchWorld) touchAll() {
+	for id := range s.accepted {
+		s.cell.Touch(id)
+	}
+	s.commit()
+}
+
+// newFirstRuns is newSearchWorld with texts, and with tasks of which each fails once.
+func newFirstRuns(t require.TestingT) *searchWorld {
+	s := newSearchWorld(t)
+	s.texts = newTextBook()
+	s.submitSaved("again", saving(1), savingGang(2), quick(1))
+	return s
+}
+
+// newSecondRuns is newFirstRuns once all tasks have failed and wait, with their texts known.
+func newSecondRuns(t require.TestingT) *searchWorld {
+	s := newFirstRuns(t)
+	s.turn(turnSpan)
+	s.turn(turnSpan)
+	s.now += 2 * againLasts
+	s.lookAll()
+	return s
+}
+
+// TestSearchOfTexts: in all interleavings a start brings no text or one that a run of its own
+// task has listed, or of its gang; none if its step doesn't checkpoint; and the same as all
+// starts of its run, and of the other members of its gang.
+func TestSearchOfTexts(t *testing.T) {
+	for name, world := range map[string]func(require.TestingT) *searchWorld{"first": newFirstRuns, "second": newSecondRuns} {
+		t.Run(name, func(t *testing.T) {
+			s := &search{t: t, world: world, steps: textSteps}
+			s.run(*textsDepth)
+		})
+	}
+}
--- a/internal/workflow/planner/export_test.go
+++ b/internal/workflow/planner/export_test.go
@@ -28,7 +28,7 @@
 	for _, id := range ids {
 		j := c.jobs[id]
 		j.eachTask(func(t *task) {
-			fmt.Fprintln(&out, t.ref, j.state, j.shown, t.state, t.number, t.life, t.crashes, t.run != nil)
+			fmt.Fprintln(&out, t.ref, j.state, j.shown, t.state, t.number, t.life, t.crashes, t.run != nil, t.checkpoint, t.resumeFrom)
 		})
 	}
 	fmt.Fprintln(&out, len(c.dirty), c.superseded, len(c.ended))
--- a/internal/workflow/planner/search_test.go
+++ b/internal/workflow/planner/search_test.go
@@ -19,11 +19,11 @@
 // The search plays all interleavings of what can happen to two workers, two owners and two tasks,
 // up to a number of steps, with the real planner. States that look alike are explored once.
 //
-//	go test ./internal/workflow/planner -run TestSearch -search.depth 9 -search.within 10m
+//	go test ./internal/workflow/planner -run TestSearchOfLives -search.depth 9 -search.within 10m
 
 var (
 	searchDepth  = flag.Int("search.depth", 5, "how many steps TestSearchOfLives plays at most")
-	searchWithin = flag.Duration("search.within", time.Minute, "when it ends even if it has not played them all")
+	searchWithin = flag.Duration("search.within", time.Minute, "when a search ends even if it has not played them all")
 )
 
 // searchStep is one thing that can happen.
@@ -117,16 +117,23 @@
 	return &searchWorld{world: w}
 }
 
-// play plays a path, each step 10 ms after the one before.
-func (s *searchWorld) playPath(path []byte) {
+// playPath plays a path of steps, each 10 ms after the one before, and reports whether all of
+// them could happen. Runs that end at one instant on one worker are listed in any order, so
+// that a path doesn't always lead to the same state.
+func (s *searchWorld) playPath(steps []searchStep, path []byte) bool {
 	for _, at := range path {
+		if may := steps[at].may; may != nil && !may(s) {
+			return false
+		}
 		s.now += 10
-		searchSteps[at].do(s)
+		steps[at].do(s)
 	}
+	return true
 }
 
 func (s *searchWorld) fingerprint() uint64 {
 	sum := fnv.New64a()
+	_, _ = fmt.Fprintln(sum, s.texts.fingerprint())
 	_, _ = fmt.Fprintln(sum, s.cell.Fingerprint(s.now), s.runner.Fingerprint(), s.epoch, s.rebirths, s.owners, s.waits, s.silences)
 	for _, info := range s.workers {
 		_, _ = fmt.Fprintln(sum, info.Born)
@@ -142,6 +149,9 @@
 	if violations := s.runner.Violations(); len(violations) > 0 {
 		return violations[0]
 	}
+	if s.texts != nil && len(s.texts.faults) > 0 {
+		return s.texts.faults[0]
+	}
 	for life, believed := range s.cell.Readings() {
 		if present, reading := s.runner.Reading(life.Worker); present == life && believed > reading {
 			return fmt.Sprintf("the clock of %v shows %d and is believed to show %d", life, reading, believed)
@@ -179,6 +189,9 @@
 type search struct {
 	t     *testing.T
 	until time.Time
+	// world makes the world in which the steps are played.
+	world func(require.TestingT) *searchWorld
+	steps []searchStep
 
 	mu     sync.Mutex
 	seen   map[uint64]bool
@@ -188,13 +201,11 @@
 
 // visit plays a path with one more step, and keeps it if its state is new.
 func (s *search) visit(path []byte, step int) {
-	w := newSearchWorld(s.t)
-	w.playPath(path)
-	if may := searchSteps[step].may; may != nil && !may(w) {
+	w := s.world(s.t)
+	path = append(append([]byte(nil), path...), byte(step))
+	if !w.playPath(s.steps, path) {
 		return
 	}
-	path = append(append([]byte(nil), path...), byte(step))
-	w.playPath(path[len(path)-1:])
 	print := w.fingerprint()
 	s.mu.Lock()
 	known := s.seen[print]
@@ -218,6 +229,26 @@
 	}
 }
 
+// run plays all paths of up to a number of steps, and reports the faults with their paths.
+func (s *search) run(deepest int) {
+	s.until = time.Now().Add(*searchWithin)
+	s.seen, s.faults = make(map[uint64]bool), make(map[string][]byte)
+	paths := [][]byte{nil}
+	for depth := 1; depth <= deepest && len(s.faults) == 0; depth++ {
+		s.next = nil
+		s.deepen(paths)
+		paths = s.next
+		s.t.Logf("depth %d: %d states, %d of them new; in time: %t", depth, len(s.seen), len(paths), time.Now().Before(s.until))
+	}
+	for fault, path := range s.faults {
+		names := make([]string, len(path))
+		for at, step := range path {
+			names[at] = s.steps[step].name
+		}
+		s.t.Errorf("%s: %s", fault, strings.Join(names, ", "))
+	}
+}
+
 // deepen plays one more step after each of the paths.
 func (s *search) deepen(paths [][]byte) {
 	work := make(chan []byte)
@@ -225,7 +256,7 @@
 	for range runtime.GOMAXPROCS(0) {
 		workers.Go(func() {
 			for path := range work {
-				for step := range searchSteps {
+				for step := range s.steps {
 					s.visit(path, step)
 				}
 			}
@@ -246,19 +277,6 @@
 // of steps, no task runs twice or is done twice, none waits for ever, no run is left, and no
 // clock is believed to be ahead of itself.
 func TestSearchOfLives(t *testing.T) {
-	s := &search{t: t, until: time.Now().Add(*searchWithin), seen: make(map[uint64]bool), faults: make(map[string][]byte)}
-	paths := [][]byte{nil}
-	for depth := 1; depth <= *searchDepth && len(s.faults) == 0; depth++ {
-		s.next = nil
-		s.deepen(paths)
-		paths = s.next
-		t.Logf("depth %d: %d states, %d of them new; in time: %t", depth, len(s.seen), len(paths), time.Now().Before(s.until))
-	}
-	for fault, path := range s.faults {
-		names := make([]string, len(path))
-		for at, step := range path {
-			names[at] = searchSteps[step].name
-		}
-		t.Errorf("%s: %s", fault, strings.Join(names, ", "))
-	}
+	s := &search{t: t, world: newSearchWorld, steps: searchSteps}
+	s.run(*searchDepth)
 }
