Random workflows among faults: which texts their starts bring

Workflows of up to four steps and three rounds, gangs and not, with checkpoints and without, whose tasks fail once; orders and commits that are lost, late or not answered, workers that are back under their ids or silent, rows that are written and read by the next owner at any time. A text that went to another task, round or step by a row would show.

--- a/internal/workflow/planner/checkpoint_test.go
+++ b/internal/workflow/planner/checkpoint_test.go
@@ -40,11 +40,35 @@
 
 // submitSaved hands a workflow in and notes which of its steps checkpoint.
 func (w *world) submitSaved(id cottonlanding.WorkflowID, steps ...cottonlanding.Step) {
+	w.submitRounds(id, 0, steps...)
+}
+
+// roundsEvery is how far apart the rounds of submitRounds are.
+const roundsEvery = 400 * cottonlanding.Millis(1)
+
+// submitRounds is submitSaved for a workflow that is repeated, unless there are no rounds.
+func (w *world) submitRounds(id cottonlanding.WorkflowID, rounds int, steps ...cottonlanding.Step) {
 	for _, step := range steps {
 		w.texts.saved[id] = append(w.texts.saved[id], step.Checkpoints)
 		w.texts.gangs[id] = append(w.texts.gangs[id], step.Gang)
 	}
-	w.submit(id, "Urgent", steps...)
+	workflow := cottonlanding.Workflow{ID: id, Queue: "Urgent", Steps: steps}
+	if rounds > 0 {
+		workflow.Schedule = cottonlanding.Schedule{First: int64(w.now), Interval: roundsEvery, Rounds: rounds}
+	}
+	w.cell.Submit(workflow, w.now, func(err error) {
+		if err == nil {
+			w.accepted[id] = true
+		}
+	})
+}
+
+// touchAll has the rows of all workflows written.
+func (w *world) touchAll() {
+	for id := range w.accepted {
+		w.cell.Touch(id)
+	}
+	w.commit()
 }
 
 // fill puts texts into the answer of a worker. A run that goes on has none the first time it
--- a/internal/workflow/planner/checkpointsearch_test.go
+++ b/internal/workflow/planner/checkpointsearch_test.go
@@ -24,14 +24,6 @@
 	{name: "row written", do: func(s *searchWorld) { s.touchAll() }},
 }, searchSteps...)
 
-// touchAll has the rows of all workflows written.
-func (s *searchWorld) touchAll() {
-	for id := range s.accepted {
-		s.cell.Touch(id)
-	}
-	s.commit()
-}
-
 // newFirstRuns is newSearchWorld with texts, and with tasks of which each fails once.
 func newFirstRuns(t require.TestingT) *searchWorld {
 	s := newSearchWorld(t)
--- a/internal/workflow/planner/export_test.go
+++ b/internal/workflow/planner/export_test.go
@@ -45,4 +45,8 @@
 }
 
 // Touch has the row of a workflow written with the next plan.
-func (c *Cell) Touch(id cottonlanding.WorkflowID) { c.touch(c.jobs[id]) }
+func (c *Cell) Touch(id cottonlanding.WorkflowID) {
+	if j := c.jobs[id]; j != nil {
+		c.touch(j)
+	}
+}
