Test: texts of a gang that is done are dropped

A member that ends after its gang was done had its text kept in the row, which is priced by its length. The question whether the task is done, in the rule since its first commit, mends it. Red without that question.

--- a/internal/workflow/planner/checkpoint_test.go
+++ b/internal/workflow/planner/checkpoint_test.go
@@ -343,3 +343,19 @@
 		})
 	}
 }
+
+// A member that ends after its gang is done lists its text all the same. It was kept in the row
+// of a task that is never started again, for as long as the workflow is.
+func TestTextsOfAGangThatIsDoneAreDropped(t *testing.T) {
+	w := savedWorld(t)
+	after := quick(10)
+	after.After = []int{0}
+	w.submitSaved("gang", savingGang(2), after)
+	ended := cottonlanding.TaskRef{Workflow: "gang", Index: 1}
+	for len(w.texts.listed[ended]) == 0 || w.runner.Runs(ended) {
+		w.turn(turnSpan)
+	}
+	w.turn(turnSpan)
+	w.touchAll()
+	require.NotContains(t, string(w.rows[planner.StateKey(partition, "gang")].Value), "#1/")
+}
