--- /dev/null
+++ b/internal/workflow/planner/checkpoint.go
@@ -0,0 +1,100 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// A checkpoint is a text in which a worker says from where a task can be continued, and which a
+// later start brings. Which text that is, is decided here alone:
+//
+//   - Only tasks of steps that checkpoint have texts. What is listed for others, or stands in
+//     their rows, counts for nothing.
+//   - A text counts if it is of the run that the task has at that moment, which this owner has
+//     placed or has taken over with the task's row, however that run ends. What is listed of
+//     an orphan, of a run that was given up, or of a task that is done doesn't count. An empty
+//     text takes nothing away.
+//   - A gang has one text, whichever member listed it last, and all members bring it.
+//   - A run is started with the text that was the newest when it was placed, however often its
+//     start is repeated, and by whichever owner. What is listed since then is for the next run.
+
+// checkpointSource is how a text became known.
+type checkpointSource string
+
+const (
+	checkpointListed checkpointSource = "Listed" // with a run that went on
+	checkpointEnded  checkpointSource = "Ended"  // with the end of a run
+	checkpointLoaded checkpointSource = "Loaded" // in the row that an owner before has left
+)
+
+// knownCheckpoint is a text with from where it is known, which the log tells.
+type knownCheckpoint struct {
+	text   cottonlanding.Checkpoint
+	how    checkpointSource
+	run    cottonlanding.RunNumber
+	worker cottonlanding.WorkerID
+	at     cottonlanding.Millis
+}
+
+// keeper returns the task that holds the texts: for a gang its first one, whichever listed it,
+// so that all members have the same in memory and in the row.
+func (t *task) keeper() *task {
+	if t.stage.Gang {
+		return t.stage.tasks[0]
+	}
+	return t
+}
+
+// noteCheckpoint takes in the text that a worker lists for a run.
+func (r *run) noteCheckpoint(text cottonlanding.Checkpoint, how checkpointSource, now cottonlanding.Millis) {
+	t := r.task
+	if text == "" || t == nil || t.run != r || t.state == taskDone || !t.stage.Checkpoints {
+		return
+	}
+	t.keeper().checkpoint = knownCheckpoint{text: text, how: how, run: r.Number, worker: r.worker.info.ID, at: now}
+}
+
+// loadCheckpoint takes in the texts of the task's row. The rows of a gang may hold several, of
+// which the first counts: owners before have kept one for each member.
+func (t *task) loadCheckpoint(row taskRow, now cottonlanding.Millis) {
+	k := t.keeper()
+	if !t.stage.Checkpoints || k.checkpoint.text != "" {
+		return
+	}
+	k.checkpoint = knownCheckpoint{text: row.Checkpoint, how: checkpointLoaded, run: row.Number, worker: row.Life.Worker, at: now}
+	k.resumeFrom = k.checkpoint
+	if row.ResumeFrom != nil {
+		k.resumeFrom.text = *row.ResumeFrom
+	}
+}
+
+// rowResumeFrom returns the text that the task's row must hold beside the newest one, or nil:
+// a start of another member may be repeated by the next owner. A task without a gang needs
+// none, since the newest text differs only once its own run was listed, and is then the one to
+// go on with.
+func (t *task) rowResumeFrom() *cottonlanding.Checkpoint {
+	if !t.stage.Gang || t.resumeFrom.text == t.checkpoint.text {
+		return nil
+	}
+	if !slices.ContainsFunc(t.stage.tasks, func(member *task) bool { return member.state == taskAssigned }) {
+		return nil
+	}
+	return &t.resumeFrom.text
+}
+
+// fixCheckpoint has the run that is being placed begin with the newest text. The members of a
+// gang are placed at one instant, between two lists.
+func (t *task) fixCheckpoint() {
+	k := t.keeper()
+	k.resumeFrom = k.checkpoint
+}
+
+// startCheckpoint returns what each start of a task's present run brings, and logs it.
+func (c *Cell) startCheckpoint(w *worker, r *run, now cottonlanding.Millis) cottonlanding.Checkpoint {
+	from := r.task.keeper().resumeFrom
+	if from.text != "" {
+		c.tellCheckpoint(w, r, from, now)
+	}
+	return from.text
+}
--- /dev/null
+++ b/internal/workflow/planner/checkpoint_test.go
@@ -0,0 +1,361 @@
+package planner_test
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// mostTexts is how many texts a run makes before its end.
+const mostTexts = 3
+
+// textBook has workers list a text for each run, each time another one, whether or not its
+// step checkpoints, and holds each start against what they have listed.
+type textBook struct {
+	// saved and gangs say of each workflow which of its steps checkpoint and which are gangs.
+	saved, gangs map[cottonlanding.WorkflowID][]bool
+	listed       map[cottonlanding.TaskRef]map[cottonlanding.Checkpoint]bool
+	// lists counts the lists in which a run went on, up to one more than mostTexts.
+	lists map[cottonlanding.RunKey]int
+	// brought is what the starts of a run bring; the members of a gang have one entry.
+	brought map[cottonlanding.RunKey]cottonlanding.Checkpoint
+	faults  []string
+}
+
+func newTextBook() *textBook {
+	return &textBook{
+		saved:   make(map[cottonlanding.WorkflowID][]bool),
+		gangs:   make(map[cottonlanding.WorkflowID][]bool),
+		listed:  make(map[cottonlanding.TaskRef]map[cottonlanding.Checkpoint]bool),
+		lists:   make(map[cottonlanding.RunKey]int),
+		brought: make(map[cottonlanding.RunKey]cottonlanding.Checkpoint),
+	}
+}
+
+// submitSaved hands a workflow in and notes which of its steps checkpoint.
+func (w *world) submitSaved(id cottonlanding.WorkflowID, steps ...cottonlanding.Step) {
+	w.submitRounds(id, 0, steps...)
+}
+
+// roundsEvery is how far apart the rounds of submitRounds are.
+const roundsEvery = 400 * cottonlanding.Millis(1)
+
+// submitRounds is submitSaved for a workflow that is repeated, unless there are no rounds.
+func (w *world) submitRounds(id cottonlanding.WorkflowID, rounds int, steps ...cottonlanding.Step) {
+	for _, step := range steps {
+		w.texts.saved[id] = append(w.texts.saved[id], step.Checkpoints)
+		w.texts.gangs[id] = append(w.texts.gangs[id], step.Gang)
+	}
+	workflow := cottonlanding.Workflow{ID: id, Queue: "Urgent", Steps: steps}
+	if rounds > 0 {
+		workflow.Schedule = cottonlanding.Schedule{First: int64(w.now), Interval: roundsEvery, Rounds: rounds}
+	}
+	w.cell.Submit(workflow, w.now, func(err error) {
+		if err == nil {
+			w.accepted[id] = true
+		}
+	})
+}
+
+// touchAll has the rows of all workflows written.
+func (w *world) touchAll() {
+	for id := range w.accepted {
+		w.cell.Touch(id)
+	}
+	w.commit()
+}
+
+// fill puts texts into the answer of a worker. A run that goes on has none the first time it
+// is listed.
+func (b *textBook) fill(report *cottonlanding.RunReport) {
+	if b == nil {
+		return
+	}
+	slices.SortFunc(report.Running, func(x, y cottonlanding.RunProgress) int {
+		return cmp.Compare(x.Task.String(), y.Task.String())
+	})
+	for at := range report.Running {
+		p := &report.Running[at]
+		b.lists[p.RunKey] = min(b.lists[p.RunKey], mostTexts) + 1
+		if b.lists[p.RunKey] > 1 {
+			p.Checkpoint = b.list(p.RunKey, fmt.Sprintf("%d/%d", report.Born, b.lists[p.RunKey]))
+		}
+	}
+	for at := range report.Ended {
+		e := &report.Ended[at]
+		e.Checkpoint = b.list(e.RunKey, fmt.Sprintf("%d/end", report.Born))
+	}
+}
+
+func (b *textBook) list(key cottonlanding.RunKey, when string) cottonlanding.Checkpoint {
+	text := cottonlanding.Checkpoint(fmt.Sprintf("%s#%d/%s", key.Task, key.Number, when))
+	if b.listed[key.Task] == nil {
+		b.listed[key.Task] = make(map[cottonlanding.Checkpoint]bool)
+	}
+	b.listed[key.Task][text] = true
+	return text
+}
+
+// noteOrder holds a start against what was listed and against the other starts of its run.
+func (b *textBook) noteOrder(order planner.Order) {
+	if b == nil || order.Verb != planner.VerbStart {
+		return
+	}
+	key, text := order.Start.RunKey, order.Start.Checkpoint
+	gang := marked(b.gangs, key.Task)
+	switch {
+	case text == "":
+	case !marked(b.saved, key.Task):
+		b.fault("run %d of %s brings %q, and its step doesn't checkpoint", key.Number, key.Task, text)
+	case !b.knows(key.Task, gang, text):
+		b.fault("run %d of %s brings %q, which no run of it has listed", key.Number, key.Task, text)
+	}
+	if gang {
+		key.Task.Index = 0
+	}
+	if before, found := b.brought[key]; found && before != text {
+		b.fault("run %d of %s brings %q, and a start of that run before brought %q", key.Number, order.Start.Task, text, before)
+	}
+	b.brought[key] = text
+}
+
+// marked reports what a list says of a task's step.
+func marked(of map[cottonlanding.WorkflowID][]bool, task cottonlanding.TaskRef) bool {
+	return task.Step < len(of[task.Workflow]) && of[task.Workflow][task.Step]
+}
+
+// knows reports whether a run of the task has listed a text, or of its gang.
+func (b *textBook) knows(task cottonlanding.TaskRef, gang bool, text cottonlanding.Checkpoint) bool {
+	for other, texts := range b.listed {
+		if gang {
+			other.Index = task.Index
+		}
+		if other == task && texts[text] {
+			return true
+		}
+	}
+	return false
+}
+
+// fingerprint describes what starts brought and what is to be listed.
+func (b *textBook) fingerprint() string {
+	if b == nil {
+		return ""
+	}
+	return fmt.Sprint(b.brought, b.lists)
+}
+
+func (b *textBook) fault(format string, values ...any) {
+	b.faults = append(b.faults, fmt.Sprintf(format, values...))
+}
+
+// savedWorld is a world whose workers list texts.
+func savedWorld(t require.TestingT) *world {
+	w := newSpreadWorld(t)
+	w.texts = newTextBook()
+	for range 3 {
+		w.turn(turnSpan)
+	}
+	return w
+}
+
+// saving is quick for a step that checkpoints.
+func saving(tasks int) cottonlanding.Step {
+	step := quick(tasks)
+	step.Checkpoints = true
+	return step
+}
+
+// savingGang is saving for a step whose tasks run only together.
+func savingGang(tasks int) cottonlanding.Step {
+	step := saving(tasks)
+	step.Gang = true
+	return step
+}
+
+// loadRow has the next owner take in one workflow in a given state.
+func (w *world) loadRow(id cottonlanding.WorkflowID, state string, steps ...cottonlanding.Step) {
+	w.submitSaved(id, steps...)
+	w.commit()
+	row := w.rows[planner.StateKey(partition, id)]
+	row.Value = []byte(state)
+	w.rows[row.Key] = row
+	w.takeOver()
+}
+
+// A text from which to continue is listed with each run, and the page that describes workers
+// says it is made only by those tasks that checkpoint. The planner kept whatever text a
+// list held, and the next start brought it, also of a step that doesn't checkpoint: there a
+// start that brings any text is one that nobody asked for.
+func TestOnlyStepsThatCheckpointHaveTexts(t *testing.T) {
+	t.Run("listed", func(t *testing.T) {
+		w := savedWorld(t)
+		w.submitSaved("again", quick(2), saving(1))
+		w.play(10 * cottonlanding.Second)
+		require.Empty(t, w.texts.faults)
+		require.NotEmpty(t, w.texts.brought[cottonlanding.RunKey{Task: cottonlanding.TaskRef{Workflow: "again", Step: 1}, Number: 2}])
+	})
+	t.Run("in the row", func(t *testing.T) {
+		w := savedWorld(t)
+		w.loadRow("b", `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[["",1,"",0,"text"]]}`, quick(1))
+		w.play(5 * cottonlanding.Second)
+		require.Empty(t, w.texts.faults)
+		require.Equal(t, 1, w.runner.Starts())
+	})
+}
+
+// note takes a text for one that a run of the task has listed.
+func (b *textBook) note(task cottonlanding.TaskRef, text cottonlanding.Checkpoint) {
+	b.listed[task] = map[cottonlanding.Checkpoint]bool{text: true}
+}
+
+// ordersBut sends all due orders but those that are lost.
+func (w *world) ordersBut(lost func(planner.Order) bool) {
+	for _, order := range w.cell.Orders(w.now) {
+		order.SentAt = w.now
+		w.texts.noteOrder(order)
+		var reading cottonlanding.Reading
+		err := error(cottonlanding.ErrAmbiguous)
+		if !lost(order) {
+			reading, err = w.send(order)
+		}
+		w.cell.Ordered(order, reading, err, w.now)
+	}
+}
+
+// turnWithout is turn with the starts of one task lost.
+func (w *world) turnWithout(task cottonlanding.TaskRef) {
+	w.now += turnSpan
+	w.commit()
+	w.ordersBut(func(order planner.Order) bool { return order.Start.Task == task })
+	w.lookAll()
+}
+
+// The page that describes workers says that the text of any member serves for its gang, and
+// that all members must bring the same one. Each member brought its own: whatever it was
+// listed with last. So a gang that had listed texts was started with as many of them.
+func TestGangBringsOneText(t *testing.T) {
+	w := savedWorld(t)
+	w.submitSaved("again", savingGang(2))
+	w.play(10 * cottonlanding.Second)
+	require.Empty(t, w.texts.faults)
+	text := w.texts.brought[cottonlanding.RunKey{Task: first("again"), Number: 2}]
+	require.Contains(t, text, "again.0.0.1#1", "the second member's worker is asked last")
+	state, _ := w.cell.State("again")
+	require.Equal(t, cottonlanding.WorkflowSucceeded, state)
+}
+
+// The same through a change of owner: the rows that owners have written until now hold a text
+// of each member. Whether the gang waits or some of its starts may have gone out, the next
+// owner brings one of these texts for all.
+func TestGangOfRowsThatDifferBringsOneText(t *testing.T) {
+	for name, tasks := range map[string]string{
+		"waiting":  `["",1],["",1,"",0,"two"],["",1,"",0,"three"]`,
+		"one text": `["",1,"",0,"two"],["",1],["",1]`,
+		"placed":   `["A",1,"w1"],["A",1,"w2",0,"two"],["A",1,"w3",0,"three"]`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := savedWorld(t)
+			w.texts.note(cottonlanding.TaskRef{Workflow: "gang", Index: 1}, "two")
+			w.texts.note(cottonlanding.TaskRef{Workflow: "gang", Index: 2}, "three")
+			w.loadRow("gang", `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[`+tasks+`]}`, savingGang(3))
+			w.play(5 * cottonlanding.Second)
+			require.Empty(t, w.texts.faults)
+			require.NotEmpty(t, w.texts.brought)
+			for _, text := range w.texts.brought {
+				require.EqualValues(t, "two", text)
+			}
+		})
+	}
+}
+
+// partlyStarted returns a world in which one member of a gang goes on and has listed texts, and
+// each start of the other was lost. The first row is that of the gang's first task.
+func partlyStarted(t require.TestingT, firstRow string) *world {
+	w := savedWorld(t)
+	w.texts.note(first("slow"), "one")
+	w.loadRow("slow", `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[`+firstRow+`,["",1]]}`, savingGang(2))
+	for range 20 {
+		w.turnWithout(cottonlanding.TaskRef{Workflow: "slow", Index: 1})
+	}
+	require.Equal(t, 1, w.runner.Starts())
+	require.Greater(t, len(w.texts.listed[first("slow")]), 1, "the member that has begun lists texts")
+	return w
+}
+
+// A start that gets no answer is repeated, and each repeat read the gang's text anew. So one
+// run was started with the text that it was placed with and with those that a member which had
+// begun has listed since, while the members must all bring the same.
+func TestRepeatedStartBringsTheTextOfItsRun(t *testing.T) {
+	w := partlyStarted(t, `["",1,"",0,"one"]`)
+	w.play(2 * cottonlanding.Second)
+	require.Equal(t, 2, w.runner.Starts())
+	require.Empty(t, w.texts.faults)
+}
+
+// A gang is done with its first member that is, and its texts are dropped. A start of another
+// member, to which there was no answer by then, was repeated without the text that the copies
+// before had brought.
+func TestRepeatedStartOfAGangThatIsDoneBringsItsText(t *testing.T) {
+	w := savedWorld(t)
+	w.texts.note(first("gang"), "one")
+	after := quick(10)
+	after.After = []int{0}
+	w.loadRow("gang", `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[["",1,"",0,"one"],["",1,"",0,"one"]]}`, savingGang(2), after)
+	for range 20 {
+		w.turnWithout(cottonlanding.TaskRef{Workflow: "gang", Index: 1})
+	}
+	require.Greater(t, w.runner.Starts(), 1, "the step after the gang has begun")
+	require.Empty(t, w.texts.faults)
+}
+
+// The same with a change of owner before the repeat: the row held the newest text alone, so
+// that the next owner could not know which one the members that have begun had brought. That may
+// be none, and the first member, whose row has the texts, may have ended by then.
+func TestNextOwnerRepeatsAStartWithTheTextOfItsRun(t *testing.T) {
+	for name, one := range map[string]struct {
+		firstRow string
+		ends     bool
+	}{
+		"with a text":            {firstRow: `["",1,"",0,"one"]`},
+		"without":                {firstRow: `["",1]`},
+		"first member has ended": {firstRow: `["",1,"",0,"one"]`, ends: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := partlyStarted(t, one.firstRow)
+			if one.ends {
+				run := cottonlanding.RunKey{Task: first("slow"), Number: 2}
+				require.NoError(t, w.runner.Stop(t.Context(), cottonlanding.WorkerRef{Life: cottonlanding.Life{Worker: "w1"}}, run, w.epoch))
+				w.turnWithout(cottonlanding.TaskRef{Workflow: "slow", Index: 1})
+			}
+			w.cell.Touch("slow")
+			w.commit()
+			w.takeOver()
+			w.play(2 * cottonlanding.Second)
+			require.Equal(t, 2, w.runner.Starts())
+			require.Empty(t, w.texts.faults)
+		})
+	}
+}
+
+// A member that ends after its gang is done lists its text all the same. It was kept in the row
+// of a task that is never started again, for as long as the workflow is.
+func TestTextsOfAGangThatIsDoneAreDropped(t *testing.T) {
+	w := savedWorld(t)
+	after := quick(10)
+	after.After = []int{0}
+	w.submitSaved("gang", savingGang(2), after)
+	ended := cottonlanding.TaskRef{Workflow: "gang", Index: 1}
+	for len(w.texts.listed[ended]) == 0 || w.runner.Runs(ended) {
+		w.turn(turnSpan)
+	}
+	w.turn(turnSpan)
+	w.touchAll()
+	require.NotContains(t, string(w.rows[planner.StateKey(partition, "gang")].Value), "#1/")
+}
--- a/internal/workflow/planner/export_test.go
+++ b/internal/workflow/planner/export_test.go
@@ -28,7 +28,7 @@
 	for _, id := range ids {
 		j := c.jobs[id]
 		j.eachTask(func(t *task) {
-			fmt.Fprintln(&out, t.ref, j.state, j.shown, t.state, t.number, t.life, t.crashes, t.run != nil)
+			fmt.Fprintln(&out, t.ref, j.state, j.shown, t.state, t.number, t.life, t.crashes, t.run != nil, t.checkpoint.text, t.resumeFrom.text)
 		})
 	}
 	fmt.Fprintln(&out, len(c.dirty), c.superseded, len(c.ended))
@@ -43,3 +43,10 @@
 	}
 	return out
 }
+
+// Touch has the row of a workflow written with the next plan.
+func (c *Cell) Touch(id cottonlanding.WorkflowID) {
+	if j := c.jobs[id]; j != nil {
+		c.touch(j)
+	}
+}
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -77,12 +77,13 @@
 	stage *stage
 	state taskState
 	// number is that of the last run, zero before the first.
-	number     cottonlanding.RunNumber
-	failures   int
-	crashes    cottonlanding.CrashRecord
-	checkpoint cottonlanding.Checkpoint
-	// checkpointFrom tells from where the checkpoint is known.
-	checkpointFrom checkpointSource
+	number   cottonlanding.RunNumber
+	failures int
+	crashes  cottonlanding.CrashRecord
+	// checkpoint is the newest text of the task or of its gang, resumeFrom the one with which
+	// its present run is started: see keeper.
+	checkpoint knownCheckpoint
+	resumeFrom knownCheckpoint
 	// life is where the last run was placed.
 	life cottonlanding.Life
 	run  *run
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -139,10 +139,7 @@
 		order.Verb = VerbStart
 		order.Start.Payload = r.task.job.Payload
 		order.Start.LeaseUntil = c.leaseUntil(w, now)
-		order.Start.Checkpoint = r.task.checkpoint
-		if order.Start.Checkpoint != "" {
-			c.tellCheckpoint(w, r, order.Start.Checkpoint, now)
-		}
+		order.Start.Checkpoint = c.startCheckpoint(w, r, now)
 		r.phase = sent
 		r.sentAt = now
 		return order, true
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -41,14 +41,11 @@
 	if t == nil || t.run != r {
 		return
 	}
+	r.noteCheckpoint(end.Checkpoint, checkpointEnded, now)
 	t.run = nil
 	if t.job.state.Final() {
 		return
 	}
-	if end.Checkpoint != "" {
-		t.checkpoint = end.Checkpoint
-		t.checkpointFrom = checkpointSource{checkpointEnded, end.Number, w.info.ID, now}
-	}
 	switch {
 	case end.Kind == cottonlanding.EndDone && !t.stage.Lasting:
 		w.health.noteSuccess(r, now)
@@ -91,7 +88,7 @@
 	for _, member := range members {
 		if member.state != taskDone {
 			member.state = taskDone
-			member.life, member.checkpoint = cottonlanding.Life{}, ""
+			member.life, member.checkpoint = cottonlanding.Life{}, knownCheckpoint{}
 			t.stage.done++
 		}
 	}
--- a/internal/workflow/planner/story.go
+++ b/internal/workflow/planner/story.go
@@ -94,3 +94,11 @@
 		c.log.Warn("ends passed over", "Worker", w.info.ID, "Born", w.born, "Ends", passed, "Noted", w.noted, "Seen", w.seen)
 	}
 }
+
+// tellCheckpoint logs a start that continues from a checkpoint. A text that differs from what
+// that worker has listed for that run was altered on its way; two lines of one run with two
+// texts say that its start was repeated with another one.
+func (c *Cell) tellCheckpoint(w *worker, r *run, from knownCheckpoint, now cottonlanding.Millis) {
+	c.log.Info("start continues from a checkpoint", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Checkpoint", from.text,
+		"How", from.how, "Of", from.run, "By", from.worker, "Before", now-from.at, "Repeated", r.doubtful)
+}
