A workflow that waits is handed over to a cell without room: a test that fails

The test brings about the cause without killing anybody: all cells are full, and one workflow waits at its home, whose report is below zero for that; the others' are zero.

--- a/internal/workflow/gateway/handover_test.go
+++ b/internal/workflow/gateway/handover_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/partitioner"
 )
 
 // lateReferral refers nothing at first, and then to the cell with the most room.
@@ -71,3 +72,53 @@
 	}
 	require.Eventually(t, func() bool { return d.runner.Lasting() == 0 }, 10*time.Second, 10*time.Millisecond)
 }
+
+// lastingAt is a workflow of lasting tasks whose home is a cell.
+func lastingAt(home cottonlanding.CellNumber, name string, tasks int) cottonlanding.Workflow {
+	layout := partitioner.Layout{Cells: cells}
+	number := 0
+	id := func() cottonlanding.WorkflowID {
+		return cottonlanding.WorkflowID(fmt.Sprintf("lasting-%s-%d", name, number))
+	}
+	for layout.Home(id()) != home {
+		number++
+	}
+	w := workflow(id())
+	w.Steps = w.Steps[:1]
+	w.Steps[0].Lasting, w.Steps[0].Tasks = true, tasks
+	return w
+}
+
+// handedOver counts the workflows that waited and went to another cell.
+func (d *deployment) handedOver() int64 {
+	sum := int64(0)
+	for _, host := range d.hosts {
+		counts, _ := host.Counts()
+		sum += counts.HandedOver
+	}
+	return sum
+}
+
+// TestNoMoveToAFullCell has all cells full, and one workflow wait at its home. Seen: a lasting
+// workflow waited for good in a full cell while others had room. Its home had looked for room
+// just after the owners of those had changed, so that nothing was known of them; a full cell in
+// which nothing waited seemed to have more room than the home itself, in which the workflow
+// did. What was handed over can't leave the other cell again.
+func TestNoMoveToAFullCell(t *testing.T) {
+	d := deployCells(t, cells)
+	d.settled()
+	const perCell, waiting = 32, 8
+	for home := range cottonlanding.CellNumber(cells) {
+		d.submit(0, lastingAt(home, "fills", perCell))
+	}
+	require.Eventually(t, func() bool { return d.runner.Lasting() == cells*perCell }, 10*time.Second, 10*time.Millisecond)
+	time.Sleep(time.Second) // all know by then that the others are full
+	d.submit(0, lastingAt(0, "waits", waiting))
+	require.Never(t, func() bool { return d.handedOver() > 0 }, 2*time.Second, 50*time.Millisecond, "it goes where there is no room")
+	require.Eventually(t, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return d.hosts[0].Cancel(ctx, lastingAt(0, "fills", perCell).ID) == nil
+	}, 10*time.Second, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return d.runner.Lasting() == (cells-1)*perCell+waiting }, 10*time.Second, 10*time.Millisecond, "it begins")
+}
