A lasting workflow that waits is handed over only where there is room for it

Callers saw: a lasting workflow waited for good in a full cell while others had room (TestWaitingWorkflowsMove, "they find room").

Cause, from the log of a failed trial (decisions of new owners stalled by 700 ms, leases of 1.2 s): the home's report was below zero, since its one waiting workflow counts against it. Of the two cells with room the owners had just changed, so that nothing was known of them; the fourth was full with nothing waiting, a report of zero. That is more than the home's, and the workflow went there. From a cell that isn't its home it can't go on. It had never been placed, so that the flag of what has begun wasn't in its way.

Ruled out: a start that was refused or taken back and left the workflow counted as begun. Nothing of the kind is in the failed runs' logs.

Change: of the other cells only those are asked that have room for all lasting tasks of the workflow, or else for some of them. Workflows without lasting tasks go as before, since such tasks give room back. Where a new workflow goes when it is handed in is unchanged.

It holds because a workflow that isn't handed over looks again 300 ms later, and begins at its home if room comes there first.

--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -67,6 +67,8 @@
 	// Refer returns the cell that is to keep a new workflow, if it isn't this one, of
 	// which it gets what is left, and whether it has usable workers.
 	Refer func(workflow cottonlanding.Workflow, report planner.Report, usable bool) (cottonlanding.CellNumber, bool)
+	// Move returns the cell to which a workflow that waits is to be handed over, by the same.
+	Move func(workflow cottonlanding.Workflow, report planner.Report, usable bool) (cottonlanding.CellNumber, bool)
 	// Deliver tells another cell of a workflow that it is to keep.
 	Deliver func(ctx context.Context, workflow cottonlanding.Workflow, to cottonlanding.CellNumber) error
 	// Home reports whether this cell is the home of a workflow.
--- a/internal/workflow/driver/handover.go
+++ b/internal/workflow/driver/handover.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		report, usable := d.cell.Report(now)
-		if to, found := d.deps.Refer(workflow, report, usable); found {
+		if to, found := d.deps.Move(workflow, report, usable); found {
 			d.cell.HandOver(workflow.ID, to, now)
 			moved++
 		}
--- a/internal/workflow/driver/orders_test.go
+++ b/internal/workflow/driver/orders_test.go
@@ -134,6 +134,7 @@
 		Queues:      func() cottonlanding.Queues { return queues },
 		ValidUntil:  func() cottonlanding.Millis { return clock.Now() + cottonlanding.Minute },
 		Refer:       noReferral,
+		Move:        noReferral,
 		Siblings:    noSiblings,
 		Deliver:     noDelivery,
 		Home:        everyHome,
--- a/internal/workflow/driver/owner_test.go
+++ b/internal/workflow/driver/owner_test.go
@@ -78,6 +78,7 @@
 		Queues:      func() cottonlanding.Queues { return queues },
 		ValidUntil:  func() cottonlanding.Millis { return o.clock.Now() + cottonlanding.Minute },
 		Refer:       noReferral,
+		Move:        noReferral,
 		Siblings:    noSiblings,
 		Deliver:     noDelivery,
 		Home:        everyHome,
--- a/internal/workflow/gateway/seat.go
+++ b/internal/workflow/gateway/seat.go
@@ -105,6 +105,7 @@
 		Evacuations: s.gateway.deps.Evacuations,
 		ValidUntil:  s.holder.ValidUntil,
 		Refer:       s.refer,
+		Move:        s.move,
 		Deliver:     s.deliver,
 		Home:        s.isHome,
 		Siblings:    s.siblings,
