A lasting workflow that has begun goes before one that may still leave

Callers saw a lasting workflow wait for good in a full cell while others had room, after the cell's owner had been killed and its leases had run out.

The owner took in 32 ends and decided 700 ms later, in the order of the rows; the one workflow that had never begun was among the first, and one that had run was left. What has begun can't be handed over, since its task could run twice.

Change: among lasting workflows of one class those that have begun have the lower score. The others are then what is left when the cell is full, and go where there is room. Under the policy in force short workflows have scores above zero, so that the order between them and lasting ones stays; under "arrival" lasting ones that have begun go before short ones of their class.

--- a/internal/workflow/planner/rank.go
+++ b/internal/workflow/planner/rank.go
@@ -9,18 +9,29 @@
 // meanWeight is the weight of the newest workflow in the mean work of a queue's.
 const meanWeight = 0.02
 
+// begunScore is the score of lasting workflows that have begun, those that haven't have zero: in
+// a full cell the latter may still be handed over to another one.
+const begunScore = -1
+
 // rankAll works out anew where each open workflow goes among those of its priority.
 func (c *Cell) rankAll(now cottonlanding.Millis) {
 	for _, j := range c.order {
 		j.missed = j.lasts && j.missesTask(now)
 		if j.lasts || j.Schedule.Rounds > 0 {
-			j.rank = cottonlanding.Rank{Class: j.lateness(now)}
+			j.rank = cottonlanding.Rank{Class: j.lateness(now), Score: j.lastingScore()}
 			continue
 		}
 		j.rank = c.policy.Ranking.Rank(c.rankView(j, now))
 	}
 }
 
+func (j *job) lastingScore() float64 {
+	if j.lasts && j.begun {
+		return begunScore
+	}
+	return 0
+}
+
 // compareRanks orders workflows by priority, those whose lasting tasks were interrupted first,
 // then by rank, then by acceptance.
 func compareRanks(a, b *job) int {
