Stand-in of workers: runs make checkpoints, starts with another's are noted

Callers saw nothing: no stand-in of workers listed a checkpoint, and none looked at the one that a start brings, so that no proof with processes or on virtual time could find a start with a checkpoint that isn't the task's.

A run whose Fate says so makes one after each span of work and at a stop, tells it in its rows, and goes on from what its start brings. The text holds the work and a hash of task and work, so that an altered one and another task's are told apart by themselves. A start is noted if its text is not the task's, was never told, says more work than was ever done, comes for a step that makes none, or differs from the one that an earlier start of the run brought to the same life. The note says where the text comes from, also if that life has ended since. Starts are counted by where their text was last read.

Ruled out: that older tests change; without the new figure of Fate nothing is listed. The tests of the planner, driver and gateway pass as before.

Left out: gangs, whose members may bring each other's text.

--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -24,16 +24,6 @@
 	startsAfterCrashes = 3
 )
 
-// Fate is what becomes of a run.
-type Fate struct {
-	Lasts cottonlanding.Millis
-	// Forever runs until it is stopped.
-	Forever bool
-	Fails   bool
-	// Crashes ends the worker with all that it runs once the run has lasted that long.
-	Crashes bool
-}
-
 // Runner holds the workers.
 type Runner struct {
 	clock cottonlanding.Clock
@@ -50,6 +40,8 @@
 	crashes map[cottonlanding.TaskRef]int
 	after   map[cottonlanding.TaskRef]int
 	notes   notes
+
+	checkpoints checkpoints
 	// longestLease cuts the leases that workers take, unless it is zero.
 	longestLease cottonlanding.Millis
 }
@@ -68,11 +60,8 @@
 	serial  uint64
 	// lapsedAt is when the lease was last found to have run out.
 	lapsedAt cottonlanding.Millis
-}
-
-type activeRun struct {
-	began cottonlanding.Millis
-	fate  Fate
+	// brought holds the checkpoint that the last start of each run brought.
+	brought map[cottonlanding.RunKey]cottonlanding.Checkpoint
 }
 
 // New returns a runner without workers; fate decides about each run.
@@ -84,6 +73,8 @@
 		crashes: make(map[cottonlanding.TaskRef]int),
 		after:   make(map[cottonlanding.TaskRef]int),
 		notes:   newNotes(),
+
+		checkpoints: newCheckpoints(),
 	}
 }
 
@@ -108,6 +99,7 @@
 		offset:  offset,
 		runs:    make(map[cottonlanding.RunKey]*activeRun),
 		ruled:   make(map[cottonlanding.TaskRef]cottonlanding.RunNumber),
+		brought: make(map[cottonlanding.RunKey]cottonlanding.Checkpoint),
 	}
 }
 
@@ -226,7 +218,7 @@
 // crashIfDue ends a life that one of its runs has crashed by now.
 func (r *Runner) crashIfDue(w *worker) {
 	for key, run := range w.runs {
-		if !run.fate.Crashes || r.clock.Now() < run.began+run.fate.Lasts {
+		if !run.fate.Crashes || r.clock.Now() < run.ends() {
 			continue
 		}
 		delete(r.workers, w.id)
@@ -245,7 +237,7 @@
 		w.lapsedAt = now
 	}
 	for key, run := range w.runs {
-		ends := run.began + run.fate.Lasts
+		ends := run.ends()
 		over := !run.fate.Forever && now >= ends
 		// A worker that nobody asked for long may find both at once: the first counts.
 		lapsed := r.reading(w) >= w.lease && !(over && cottonlanding.Reading(ends+w.offset) < w.lease)
@@ -261,10 +253,15 @@
 }
 
 func (r *Runner) end(w *worker, key cottonlanding.RunKey, kind cottonlanding.EndKind) {
+	worked := r.clock.Now()
+	if kind == cottonlanding.EndLapsed {
+		worked = min(worked, cottonlanding.Millis(w.lease)-w.offset)
+	}
+	text := r.checkpointOf(key, w.runs[key], worked, kind == cottonlanding.EndStopped)
 	delete(w.runs, key)
 	w.serial++
 	w.ruled[key.Task] = max(w.ruled[key.Task], key.Number)
-	end := cottonlanding.RunEnd{RunKey: key, Serial: w.serial, Kind: kind}
+	end := cottonlanding.RunEnd{RunKey: key, Serial: w.serial, Kind: kind, Checkpoint: text}
 	w.ended = append(w.ended, endedRun{RunEnd: end, at: r.clock.Now()})
 }
 
@@ -305,6 +302,7 @@
 	if err != nil {
 		return 0, err
 	}
+	r.watchCheckpoint(w, start)
 	reading := r.reading(w)
 	if reading >= start.LeaseUntil {
 		return reading, cottonlanding.ErrLate
@@ -320,7 +318,11 @@
 	r.starts++
 	r.watchCrashes(start.RunKey)
 	r.watchNoted(start.RunKey)
-	w.runs[start.RunKey] = &activeRun{began: r.clock.Now(), fate: r.fate(start.RunKey)}
+	run := &activeRun{began: r.clock.Now(), fate: r.fate(start.RunKey)}
+	if from, own := workOf(start.Task, start.Checkpoint); own {
+		run.text, run.from = start.Checkpoint, from
+	}
+	w.runs[start.RunKey] = run
 	return reading, nil
 }
 
@@ -375,22 +377,18 @@
 	r.forgetSeen(w, look.Seen)
 	r.lend(w, look.LeaseUntil)
 	report := cottonlanding.RunReport{Born: w.born, Reading: r.reading(w)}
+	for key, run := range w.runs {
+		text := r.checkpointOf(key, run, r.clock.Now(), false)
+		r.tell(w, key, text, "")
+		report.Running = append(report.Running, cottonlanding.RunProgress{RunKey: key, Percent: r.percent(run), Checkpoint: text})
+	}
 	for _, end := range w.ended {
+		r.tell(w, end.RunKey, end.Checkpoint, end.Kind)
 		report.Ended = append(report.Ended, end.RunEnd)
 	}
-	for key, run := range w.runs {
-		report.Running = append(report.Running, cottonlanding.RunProgress{RunKey: key, Percent: r.percent(run)})
-	}
 	return report, nil
 }
 
-func (r *Runner) percent(run *activeRun) int {
-	if run.fate.Forever {
-		return 100
-	}
-	return int(100 * (r.clock.Now() - run.began) / max(run.fate.Lasts, 1))
-}
-
 // Pace implements cottonlanding.RunClient; the pace has no effect here.
 func (r *Runner) Pace(_ context.Context, ref cottonlanding.WorkerRef, _ cottonlanding.RunKey, percent int, epoch cottonlanding.Epoch) error {
 	r.mu.Lock()
