A test of a start that the next life takes after it answered a look (red)

The test plays it without processes: the next life answers a look, takes a start, and the answer to the start comes before the answer to the look.

--- a/internal/workflow/planner/life_test.go
+++ b/internal/workflow/planner/life_test.go
@@ -180,6 +180,37 @@
 	w.requireState("once", cottonlanding.WorkflowSucceeded)
 }
 
+// TestAnswersOfTheNextLifeCross: in a soak of real processes with 200 workers, tasks were started
+// again while they ran on a worker that was back under its id. The next life had answered a
+// look before it took a start, and the answer to the start, which names no birth, came first. So
+// the owner took the run for one of the life before, which the answer to the look had
+// ended, and had nothing ruled out.
+func TestAnswersOfTheNextLifeCross(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("slow", "Urgent", only("w1", 1))
+	w.commit()
+	starts := w.cell.Orders(w.now)
+	require.Len(t, starts, 1)
+	starts[0].SentAt = w.now
+	w.rebirth(0)
+	w.relist()
+	next, _ := w.cell.NextLook("w1", w.now)
+	sentAt := w.now
+	report, err := w.runner.Look(context.Background(), next.Worker, next.Look)
+	require.NoError(t, err)
+	require.Empty(t, report.Running)
+	w.now += 5
+	reading, err := w.send(starts[0])
+	require.NoError(t, err)
+	w.cell.Ordered(starts[0], reading, nil, w.now)
+	w.now += 5
+	w.cell.Looked(next, report, sentAt, w.now)
+	require.True(t, w.runner.Runs(first("slow")))
+	w.play(slowLasts + 6*cottonlanding.Second)
+	require.Empty(t, w.runner.Violations())
+	w.requireState("slow", cottonlanding.WorkflowSucceeded)
+}
+
 // TestStopThatAnEarlierLifeTook: the answer to a stop comes when the next life is known, which has
 // taken none. It is told again, because a start may still come.
 func TestStopThatAnEarlierLifeTook(t *testing.T) {
