A start that the next life took after it listed its runs is ruled out

Cause: the answer to a start names no birth. The next life had answered a look, then taken the start; the answer to the start came first, so that the run counted as begun on the life before. The answer to the look, which couldn't list it yet, told of the next life, the run was settled as lost with the old one, and nothing was ruled out, because neither an order was under way nor one without an answer.

Change: a run that is told as begun at or after the time when the look was sent may be the next life's. It is treated as one whose start may come: the task waits until the next life has taken a stop.

Why it holds: what the next life took before it made its list is in it; what it took later was answered after the look was sent.

--- a/internal/workflow/planner/life.go
+++ b/internal/workflow/planner/life.go
@@ -92,7 +92,7 @@
 	default:
 		return w
 	}
-	c.settleEarlier(w, report, now)
+	c.settleEarlier(w, report, sentAt, now)
 	return w
 }
 
@@ -140,8 +140,9 @@
 
 // settleEarlier settles the runs that were placed on an earlier life of a worker, by what the
 // present one lists: those that it has taken are its own; of those of which a start may still
-// reach it the task waits until it has ruled them out; all others have ended with the life.
-func (c *Cell) settleEarlier(w *worker, report cottonlanding.RunReport, now cottonlanding.Millis) {
+// reach it, or has since its list was made, the task waits until it has ruled them out; all
+// others have ended with the life.
+func (c *Cell) settleEarlier(w *worker, report cottonlanding.RunReport, sentAt, now cottonlanding.Millis) {
 	var lost, unsent []*run
 	for _, r := range w.runs.snapshot() {
 		switch {
@@ -151,6 +152,8 @@
 		case r.phase < sent:
 			unsent = append(unsent, r)
 		default:
+			// The answer to a start names no birth, and may have overtaken the list.
+			r.doubtful = r.doubtful || r.phase == started && r.ackedAt >= sentAt
 			lost = append(lost, r)
 		}
 	}
@@ -175,7 +178,7 @@
 	c.stop(r, "its worker's life has ended, and a start of it may come", now)
 }
 
-// mayCome reports whether a start of this owner may still reach the worker. Those of owners
+// mayCome reports whether the worker may have taken a start of this owner, or may yet. Those of owners
 // before are refused once it has answered a look of this one.
 func (r *run) mayCome() bool { return r.sentAt > 0 && (r.ordered || r.doubtful) }
 
