--- a/internal/stand/runner/notes.go
+++ b/internal/stand/runner/notes.go
@@ -10,7 +10,7 @@
 // has taken note of that, by letting the worker forget it. It doesn't matter which came
 // first. An end between which and its note the worker's lease ran out doesn't count.
 type notes struct {
-	done map[cottonlanding.TaskRef]bool
+	done map[cottonlanding.TaskRef]string
 	// began is when the last run of each task did.
 	began map[cottonlanding.TaskRef]cottonlanding.Millis
 }
@@ -19,10 +19,12 @@
 type endedRun struct {
 	cottonlanding.RunEnd
 	at cottonlanding.Millis
+	// told says that an answer has held it.
+	told bool
 }
 
 func newNotes() notes {
-	return notes{done: make(map[cottonlanding.TaskRef]bool), began: make(map[cottonlanding.TaskRef]cottonlanding.Millis)}
+	return notes{done: make(map[cottonlanding.TaskRef]string), began: make(map[cottonlanding.TaskRef]cottonlanding.Millis)}
 }
 
 // forgetSeen forgets the ends up to a number.
@@ -38,16 +40,26 @@
 	if end.Kind != cottonlanding.EndDone || w.lapsedAt > end.at {
 		return
 	}
-	r.notes.done[end.Task] = true
+	r.notes.done[end.Task] = describeEnd(w, end)
 	if r.notes.began[end.Task] > end.at {
-		r.violations = append(r.violations, fmt.Sprintf("%s has started again after run %d of it had ended as done, and that is noted", end.Task, end.Number))
+		r.violations = append(r.violations, fmt.Sprintf("%s has started again after run %d of it had ended as done, and that is noted: %s", end.Task, end.Number, describeEnd(w, end)))
 	}
 }
 
 // watchNoted notes a start of a task of which the end of a run as done was noted.
 func (r *Runner) watchNoted(key cottonlanding.RunKey) {
 	r.notes.began[key.Task] = r.clock.Now()
-	if r.notes.done[key.Task] {
-		r.violations = append(r.violations, fmt.Sprintf("run %d of %s starts although a run of it had ended as done, and that was noted", key.Number, key.Task))
+	if end := r.notes.done[key.Task]; end != "" {
+		r.violations = append(r.violations, fmt.Sprintf("run %d of %s starts although a run of it had ended as done, and that was noted: %s", key.Number, key.Task, end))
 	}
 }
+
+// describeEnd tells which end it is, and whether the worker has ever told of it: a look that was
+// sent to an earlier life may let a worker forget an end that nobody has read.
+func describeEnd(w *worker, end endedRun) string {
+	told := "told"
+	if !end.told {
+		told = "never told"
+	}
+	return fmt.Sprintf("end %d of worker %s born %d, run %d, which was %s", end.Serial, w.id, w.born, end.Number, told)
+}
--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -382,7 +382,8 @@
 		r.tell(w, key, text, "")
 		report.Running = append(report.Running, cottonlanding.RunProgress{RunKey: key, Percent: r.percent(run), Checkpoint: text})
 	}
-	for _, end := range w.ended {
+	for at, end := range w.ended {
+		w.ended[at].told = true
 		r.tell(w, end.RunKey, end.Checkpoint, end.Kind)
 		report.Ended = append(report.Ended, end.RunEnd)
 	}
