--- a/internal/workflow/planner/crash_test.go
+++ b/internal/workflow/planner/crash_test.go
@@ -130,3 +130,24 @@
 		}
 	}
 }
+
+// TestRefusedStartIsNoCause: in a soak of real processes an accepted workflow was given up. Half of
+// the workers had crashed while its owner stood still; the first that it told each of them
+// was a start, to which another life answered. The life that was meant was over before the
+// start went out, but a run that was sent just before its worker was lost is a suspect.
+func TestRefusedStartIsNoCause(t *testing.T) {
+	w := bornWorld(t)
+	w.submit("innocent", "Urgent", quick(1))
+	for range len(w.workers) - 1 {
+		w.commit()
+		starts := w.cell.Orders(w.now)
+		require.Len(t, starts, 1)
+		starts[0].SentAt = w.now
+		w.now++
+		w.cell.Ordered(starts[0], 0, cottonlanding.ErrOtherLife, w.now)
+		require.Zero(t, w.cell.Counts().Convicted)
+	}
+	w.play(3 * cottonlanding.Second)
+	w.requireState("innocent", cottonlanding.WorkflowSucceeded)
+	require.Empty(t, w.runner.Violations())
+}
