A start that another life has refused is no cause of its worker's end

Cause: a start that is answered by another life tells that the life it was meant for has ended. The run still stood as sent then, a fraction of a second before, and so was the only suspect of that end. Two such starts give a task up, as for one that crashes its workers. It takes an owner that stood still while workers crashed, or looks that are further apart than its starts.

Ruled out: culprits that go free. A start whose first copy got no answer stays a suspect, as does a run that a worker has told.

Change: where no other copy of the start is under way or without an answer, the run is taken back as never begun before its worker's life is ended.

Left: other starts that are under way to the same life stay suspects, and count as losses.

--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -175,6 +175,9 @@
 	}
 	switch {
 	case errors.Is(err, cottonlanding.ErrOtherLife):
+		if order.Verb == VerbStart && r.phase == sent && !r.doubtful {
+			c.neverSent(r, now) // the life was over before it could take the run, which has no part in its end
+		}
 		if order.Worker == w.ref() {
 			c.lifeEnded(w, now)
 		}
