--- a/internal/workflow/planner/fit_test.go
+++ b/internal/workflow/planner/fit_test.go
@@ -16,6 +16,8 @@
 const (
 	// maxTransaction is what the table takes at once, in bytes, with values in base64.
 	maxTransaction = 1_000_000
+	// maxRow is the longest value that the table takes, in bytes.
+	maxRow = 65_536
 	// entryOverhead is more than what an entry takes beside its value.
 	entryOverhead = 300
 )
