A workflow that fits no row is refused when it is handed in

What callers saw: nothing yet; one client with a label of 64 KB stopped every decision of a cell for as long as it asked again. What comes from outside went into a row whose length nobody looked at, and an owner whose commit is refused loses its cell. Ruled out: a bound for each label. Sixty-four steps with short labels can be too much together, and each byte may take six in the row. Change: the row is encoded when the workflow is handed in; one over 65,000 bytes is refused with ErrCannotRun, for clients 400 with its length. Why it holds: those bytes are the ones that are written.

--- a/internal/workflow/planner/fit.go
+++ b/internal/workflow/planner/fit.go
@@ -2,19 +2,22 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
 )
 
-// maxStateRow is the longest state row that is written as it is, in bytes: the table takes
-// 64 KiB, with what it puts before the value.
-const maxStateRow = 65_000
+// maxRow is the longest row that is written, in bytes: the table takes 64 KiB, with what is put
+// before the value.
+const maxRow = 65_000
 
 // encodeFitting encodes a state row so that the table takes it: an owner whose commit is
 // refused loses its cell. Checkpoints for which there is no room are left out, the longest
 // first. The next owner starts those tasks without one if their runs don't go on.
 func encodeFitting(row stateRow) []byte {
 	data := encode(row)
-	if excess := len(data) - maxStateRow; excess > 0 {
+	if excess := len(data) - maxRow; excess > 0 {
 		row.leaveOut(excess)
 		data = encode(row)
 	}
@@ -39,3 +42,13 @@
 		r.Tasks[at].Checkpoint = ""
 	}
 }
+
+// encodeSpec encodes what never changes of a new workflow, or returns ErrCannotRun if the table
+// takes no such row: nobody could own the cell that has it.
+func encodeSpec(workflow cottonlanding.Workflow, queue cottonlanding.Queue) ([]byte, error) {
+	data := encode(specRow{workflow, queue})
+	if len(data) > maxRow {
+		return nil, fmt.Errorf("%w: it takes %d bytes to keep, at most %d are allowed", cottonlanding.ErrCannotRun, len(data), maxRow)
+	}
+	return data, nil
+}
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -36,7 +36,8 @@
 	committed bool
 	shown     cottonlanding.WorkflowState
 	version   cottonlanding.Version
-	// specVersion is the version of the row that never changes.
+	// spec is the row that never changes until it is committed, specVersion its version then.
+	spec        []byte
 	specVersion cottonlanding.Version
 }
 
@@ -203,7 +204,13 @@
 		done(err)
 		return
 	}
+	spec, err := encodeSpec(workflow, queue)
+	if err != nil {
+		done(err)
+		return
+	}
 	j := newJob(workflow, queue, now)
+	j.spec = spec
 	c.addJob(j)
 	c.touch(j)
 	c.counts.Accepted++
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -184,7 +184,7 @@
 		return
 	}
 	if !j.committed {
-		plan.add(cottonlanding.Write{Key: spec, Value: encode(specRow{j.Workflow, j.queue}), Unchecked: true})
+		plan.add(cottonlanding.Write{Key: spec, Value: j.spec, Unchecked: true})
 	}
 	plan.add(cottonlanding.Write{Key: state, Expect: j.version, Value: encodeFitting(j.row()), Unchecked: true})
 	j.eachTask(func(t *task) {
@@ -240,7 +240,7 @@
 			continue
 		}
 		if !j.committed {
-			j.specVersion = version
+			j.specVersion, j.spec = version, nil
 		}
 		j.committed, j.version, j.shown = true, version, plan.states[i]
 	}
