Room for lasting work is told apart from room that short tasks take

Change: an owner tells with its beat which part of its processors lasting tasks hold or wait for; a cell has room for more if that comes to no more than all. The policy goes on to choose by what is free and waits. What was referred to a cell within the last two seconds counts like the rest.

A report of a host that doesn't tell this reads as none, so that it is chosen as before.

--- a/internal/workflow/gateway/room.go
+++ b/internal/workflow/gateway/room.go
@@ -14,76 +14,79 @@
 // of them than they could hold, for good.
 const untoldFor = 2 * cottonlanding.Second
 
-// referredWork is what this host has referred to a cell of late.
+// referredWork is what this host has referred to a cell of late: the processors that its
+// first steps ask for.
 type referredWork struct {
 	at cottonlanding.Millis
-	demand
+	// reserved is those for which the work has room reserved, filling those that its filling
+	// tasks use; lasting is that part of both that its lasting tasks hold.
+	reserved, filling, lasting cottonlanding.Millicores
 }
 
-// demand is the processors that work asks for at first: reserved is those for which it has
-// room reserved, filling those that its filling tasks use.
-type demand struct {
-	reserved, filling cottonlanding.Millicores
-}
-
-// demandOf adds up what the steps of a workflow ask for that wait for no others; tasks says
-// how many of a step's tasks count.
-func demandOf(workflow cottonlanding.Workflow, tasks func(cottonlanding.Step) int) demand {
-	var sum demand
+// noteReferred takes in that a workflow was referred to this cell.
+func (s *seat) noteReferred(workflow cottonlanding.Workflow, now cottonlanding.Millis) {
+	work := referredWork{at: now, lasting: lastingCPU(workflow, allTasks)}
 	for _, step := range workflow.Steps {
 		if len(step.After) > 0 {
-			continue
+			continue // it waits for others first
 		}
-		cpu := cottonlanding.Millicores(tasks(step)) * step.Resources.CPU
+		cpu := cottonlanding.Millicores(step.Tasks) * step.Resources.CPU
 		if step.Fills {
-			sum.filling += cpu
+			work.filling += cpu
 		} else {
-			sum.reserved += cpu
+			work.reserved += cpu
 		}
 	}
-	return sum
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.referred = append(s.referred, work)
 }
 
-func allTasks(step cottonlanding.Step) int { return step.Tasks }
-
-// lastingTasks counts those tasks that give no room back by themselves.
-func lastingTasks(step cottonlanding.Step) int {
-	if !step.Lasting {
-		return 0
+// lastingCPU adds up the processors that lasting tasks of a workflow ask for at first; tasks
+// says how many of a step's tasks count.
+func lastingCPU(workflow cottonlanding.Workflow, tasks func(cottonlanding.Step) int) cottonlanding.Millicores {
+	sum := cottonlanding.Millicores(0)
+	for _, step := range workflow.Steps {
+		if step.Lasting && len(step.After) == 0 {
+			sum += cottonlanding.Millicores(tasks(step)) * step.Resources.CPU
+		}
 	}
-	return step.Tasks
+	return sum
 }
 
-// fewestLastingTasks counts as few lasting tasks as can begin.
-func fewestLastingTasks(step cottonlanding.Step) int {
+func allTasks(step cottonlanding.Step) int { return step.Tasks }
+
+// fewestTasks counts as few tasks as can begin.
+func fewestTasks(step cottonlanding.Step) int {
 	if step.Gang {
-		return lastingTasks(step)
+		return step.Tasks
 	}
-	return min(lastingTasks(step), 1)
+	return min(step.Tasks, 1)
 }
 
-// noteReferred takes in that a workflow was referred to this cell.
-func (s *seat) noteReferred(workflow cottonlanding.Workflow, now cottonlanding.Millis) {
-	work := referredWork{now, demandOf(workflow, allTasks)}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.referred = append(s.referred, work)
+// otherCell is what is known here of the room of another cell.
+type otherCell struct {
+	cottonlanding.CellView
+	capacity cottonlanding.Millicores
+	// lasting is the part of it that lasting tasks hold or wait for.
+	lasting float64
 }
 
-// less returns a view without the room of what was referred here and may not be told of
+// less returns a cell without the room of what was referred here and may not be told of
 // yet. Each home sees what it has referred itself; the others are taken to do the same.
-func (s *seat) less(view cottonlanding.CellView, capacity cottonlanding.Millicores, homes int, now cottonlanding.Millis) cottonlanding.CellView {
+func (s *seat) less(cell otherCell, homes int, now cottonlanding.Millis) otherCell {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.referred = slices.DeleteFunc(s.referred, func(work referredWork) bool { return now-work.at > untoldFor })
-	if capacity == 0 {
-		return view
+	if cell.capacity == 0 {
+		return cell
 	}
 	for _, work := range s.referred {
-		view.Free -= float64(homes) * float64(work.reserved) / float64(capacity)
-		view.Spare -= float64(homes) * float64(work.filling) / float64(capacity)
+		cell.Free -= float64(homes) * float64(work.reserved) / float64(cell.capacity)
+		cell.Spare -= float64(homes) * float64(work.filling) / float64(cell.capacity)
+		cell.lasting += float64(homes) * float64(work.lasting) / float64(cell.capacity)
 	}
-	return view
+	return cell
 }
 
 // report returns what the owner tells of its cell with each beat: what is left of it, or
@@ -105,36 +108,25 @@
 	return data
 }
 
-// otherCell is what is known here of the room of another cell.
-type otherCell struct {
-	cottonlanding.CellView
-	capacity cottonlanding.Millicores
-}
-
-func (s *seat) other(homes int, now cottonlanding.Millis) otherCell {
+// view returns what is known here of the room of another cell.
+func (s *seat) view(homes int, now cottonlanding.Millis) otherCell {
 	left, usable := s.left()
-	return otherCell{s.less(viewOf(s.cell, left, usable), left.Capacity, homes, now), left.Capacity}
-}
-
-// holds reports whether the cell has room for work.
-func (o otherCell) holds(work demand) bool {
-	return o.Usable && enough(o.Free, work.reserved, o.capacity) && enough(o.Spare, work.filling, o.capacity)
+	return s.less(otherCell{viewOf(s.cell, left, usable), left.Capacity, left.Lasting}, homes, now)
 }
 
-// enough reports whether a part of a capacity is enough for a demand. Where nothing is asked
-// for it is, however much waits there.
-func enough(part float64, asked, capacity cottonlanding.Millicores) bool {
-	return asked == 0 || part >= float64(asked)/float64(capacity)
+// holds reports whether the cell has room for lasting tasks, now or once shorter ones end.
+func (o otherCell) holds(cpu cottonlanding.Millicores) bool {
+	return cpu == 0 || o.Usable && o.lasting+float64(cpu)/float64(o.capacity) <= 1
 }
 
 // thatHold returns the cells with room for all lasting tasks of a workflow or, if there are
 // none, those with room for some.
 func thatHold(workflow cottonlanding.Workflow, others []otherCell) []otherCell {
-	for _, tasks := range []func(cottonlanding.Step) int{lastingTasks, fewestLastingTasks} {
-		work := demandOf(workflow, tasks)
-		with := slices.DeleteFunc(slices.Clone(others), func(o otherCell) bool { return !o.holds(work) })
-		if len(with) > 0 {
-			return with
+	for _, tasks := range []func(cottonlanding.Step) int{allTasks, fewestTasks} {
+		cpu := lastingCPU(workflow, tasks)
+		holding := slices.DeleteFunc(slices.Clone(others), func(o otherCell) bool { return !o.holds(cpu) })
+		if len(holding) > 0 {
+			return holding
 		}
 	}
 	return nil
@@ -180,7 +172,7 @@
 	var out []otherCell
 	for _, other := range seats {
 		if other != s {
-			out = append(out, other.other(len(seats), now))
+			out = append(out, other.view(len(seats), now))
 		}
 	}
 	return out
--- a/internal/workflow/planner/handover_test.go
+++ b/internal/workflow/planner/handover_test.go
@@ -39,3 +39,25 @@
 	require.Len(t, left, 1)
 	require.Equal(t, waits, left[0].ID)
 }
+
+// TestReportTellsWhatIsHeldForGood: room that short tasks hold or wait for comes free, so that a
+// cell with too many of those still has room for lasting ones.
+func TestReportTellsWhatIsHeldForGood(t *testing.T) {
+	w := newSpreadWorld(t)
+	step := cottonlanding.Step{Tasks: 16, Resources: cottonlanding.Resources{CPU: 1000, Memory: cottonlanding.Gigabyte}, Estimate: slowLasts}
+	lasting := step
+	lasting.Lasting = true
+	w.turn(100)
+	w.submit("lasting", "Bulk", lasting)
+	w.turn(100)
+	step.Tasks = 40
+	w.submit("slow", "Bulk", step)
+	w.turn(100)
+	report, usable := w.cell.Report(w.now + cottonlanding.Second)
+	require.True(t, usable)
+	require.InDelta(t, -0.75, report.Free, 1e-9)
+	require.InDelta(t, 0.5, report.Lasting, 1e-9)
+	w.submit("lastingToo", "Bulk", lasting, lasting)
+	report, _ = w.cell.Report(w.now + cottonlanding.Second)
+	require.InDelta(t, 1.5, report.Lasting, 1e-9, "what waits counts")
+}
--- a/internal/workflow/planner/report.go
+++ b/internal/workflow/planner/report.go
@@ -14,6 +14,9 @@
 	// Spare is the part that all runs are expected to leave unused, less what filling
 	// tasks wait for.
 	Spare float64
+	// Lasting is the part that lasting tasks hold or wait for. It may be more than one: what is
+	// left of it comes free when other tasks end.
+	Lasting float64
 	// Capacity is the processors of the usable workers.
 	Capacity cottonlanding.Millicores
 }
@@ -28,7 +31,7 @@
 }
 
 func (c *Cell) workOutReport(now cottonlanding.Millis) (Report, bool) {
-	var capacity, free, spare cottonlanding.Millicores
+	var capacity, free, spare, lasting cottonlanding.Millicores
 	for _, w := range c.sortedWorkers() {
 		if !w.usable(now) {
 			continue
@@ -37,6 +40,7 @@
 		capacity += w.info.Capacity.CPU
 		free += max(room.free.CPU, 0)
 		spare += max(room.spare, 0)
+		lasting += w.heldForGood()
 	}
 	if capacity == 0 {
 		return Report{}, false
@@ -53,12 +57,27 @@
 				} else {
 					free -= waits
 				}
+				if s.Lasting {
+					lasting += waits
+				}
 			}
 		}
 	}
 	return Report{
 		Free:     float64(free) / float64(capacity),
 		Spare:    float64(spare) / float64(capacity),
+		Lasting:  float64(lasting) / float64(capacity),
 		Capacity: capacity,
 	}, true
 }
+
+// heldForGood adds up the processors of the lasting tasks that a worker runs.
+func (w *worker) heldForGood() cottonlanding.Millicores {
+	sum := cottonlanding.Millicores(0)
+	for _, r := range w.runs.all() {
+		if r.step.Lasting && !r.stopping {
+			sum += r.step.Resources.CPU
+		}
+	}
+	return sum
+}
