--- a/internal/workflow/planner/checkpointsearch_test.go
+++ b/internal/workflow/planner/checkpointsearch_test.go
@@ -14,7 +14,7 @@
 //
 //	go test ./internal/workflow/planner -run TestSearchOfTexts -texts.depth 6 -search.within 10m
 
-var textsDepth = flag.Int("texts.depth", 4, "how many steps TestSearchOfTexts plays at most")
+var textsDepth = flag.Int("texts.depth", 3, "how many steps TestSearchOfTexts plays at most")
 
 // textSteps are searchSteps and those that tell the members of a gang apart.
 var textSteps = append([]searchStep{
