Test: no start brings a text to the run that made it

The next owner has no reading of the first life's clock, doesn't find the run in the list and repeats its start, run 1, with the text of the row.

Without births the same happens here too; what the row would have to hold then costs 7 bytes and more for each task that has listed a text, and isn't written.

--- a/internal/workflow/planner/checkpoint.go
+++ b/internal/workflow/planner/checkpoint.go
@@ -52,8 +52,8 @@
 
 // rowResumeFrom returns the text that the task's row must hold beside the newest one, or nil:
 // a start of another member may be repeated by the next owner. A task without a gang needs
-// none, since the newest text differs only once its own run was listed, and is then the one to
-// go on with.
+// none: the newest text differs only once its own run was listed, and the next owner finds that
+// run listed, or its end, or another birth of its worker.
 func (t *task) rowResumeFrom() *cottonlanding.Checkpoint {
 	if !t.stage.Gang || t.resumeFrom == t.checkpoint {
 		return nil
--- a/internal/workflow/planner/checkpoint_test.go
+++ b/internal/workflow/planner/checkpoint_test.go
@@ -359,3 +359,24 @@
 	w.touchAll()
 	require.NotContains(t, string(w.rows[planner.StateKey(partition, "gang")].Value), "#1/")
 }
+
+// A worker crashes and is back under its id, and the owner changes meanwhile. An owner that can't
+// tell the two lives apart doesn't find the run in the list, takes it for one whose start was
+// lost and repeats that, with the text of the row, which this very run may have made in the life
+// before. The birth in the row tells the lives apart: the run has ended, and the text goes to
+// the next one.
+func TestNextOwnerBringsNoTextToTheRunThatMadeIt(t *testing.T) {
+	w := bornWorld(t)
+	w.texts = newTextBook()
+	w.submitSaved("slow", saving(1))
+	w.play(2 * cottonlanding.Second)
+	w.touchAll()
+	for at := range w.workers {
+		w.rebirth(at)
+	}
+	w.takeOver()
+	w.play(2 * cottonlanding.Second)
+	require.Empty(t, w.texts.faults)
+	require.Empty(t, w.texts.brought[cottonlanding.RunKey{Task: first("slow"), Number: 1}])
+	require.NotEmpty(t, w.texts.brought[cottonlanding.RunKey{Task: first("slow"), Number: 2}])
+}
