An overfull row keeps the text with which a gang's run is started

Two members of a gang were started with two texts, or one with none, where a change of owner came between their starts and the gang's row was longer than the table takes: the longest texts were left out of it, the gang's own among them. Where only the newest was left out, the row told the text of the run, but reading the rows of the other members wiped it out again. Ruled out: leaving the others' texts out less often, since the row must fit whatever workers list.

Change: the text with which a placed gang is started is left out last, and what the first task's row says of it stands. It holds for rows in which the texts of placed gangs alone fit, some sixty of the longest, ten where each byte is escaped; beyond that they are left out as before.

--- a/internal/workflow/planner/checkpoint.go
+++ b/internal/workflow/planner/checkpoint.go
@@ -56,10 +56,11 @@
 }
 
 // loadCheckpoint takes in the texts of the task's row. The rows of a gang may hold several, of
-// which the first counts: owners before have kept one for each member.
+// which the first counts: owners before have kept one for each member. That of its first task
+// may hold only the text with which the gang's run is started.
 func (t *task) loadCheckpoint(row taskRow, now cottonlanding.Millis) {
 	k := t.keeper()
-	if !t.stage.Checkpoints || k.checkpoint.text != "" {
+	if !t.stage.Checkpoints || k.checkpoint.text != "" || k.resumeFrom.text != "" {
 		return
 	}
 	k.checkpoint = knownCheckpoint{text: row.Checkpoint, how: checkpointLoaded, run: row.Number, worker: row.Life.Worker, at: now}
@@ -74,15 +75,22 @@
 // none, since the newest text differs only once its own run was listed, and is then the one to
 // go on with.
 func (t *task) rowResumeFrom() *cottonlanding.Checkpoint {
-	if !t.stage.Gang || t.resumeFrom.text == t.checkpoint.text {
-		return nil
-	}
-	if !slices.ContainsFunc(t.stage.tasks, func(member *task) bool { return member.state == taskAssigned }) {
+	if t.resumeFrom.text == t.checkpoint.text || !t.stage.isPlacedGang() {
 		return nil
 	}
 	return &t.resumeFrom.text
 }
 
+// startsGang reports whether the newest text is the one with which the present run of the
+// task's gang is started.
+func (t *task) startsGang() bool {
+	return t.checkpoint.text != "" && t.resumeFrom.text == t.checkpoint.text && t.stage.isPlacedGang()
+}
+
+func (s *stage) isPlacedGang() bool {
+	return s.Gang && slices.ContainsFunc(s.tasks, func(member *task) bool { return member.state == taskAssigned })
+}
+
 // fixCheckpoint has the run that is being placed begin with the newest text. The members of a
 // gang are placed at one instant, between two lists.
 func (t *task) fixCheckpoint() {
--- a/internal/workflow/planner/fit.go
+++ b/internal/workflow/planner/fit.go
@@ -11,7 +11,8 @@
 
 // encodeFitting encodes a state row so that the table takes it: an owner whose commit is
 // refused loses its cell. Checkpoints for which there is no room are left out, the longest
-// first. The next owner starts those tasks without one if their runs don't go on.
+// first, but those of gangs whose runs are started with them last: all members must bring the
+// same. The next owner starts the other tasks without one if their runs don't go on.
 func encodeFitting(row stateRow) []byte {
 	data := encode(row)
 	if excess := len(data) - maxStateRow; excess > 0 {
@@ -24,14 +25,16 @@
 // leaveOut drops the longest checkpoints until the row is that many bytes shorter, or has none.
 func (r stateRow) leaveOut(excess int) {
 	lengths := make([]int, len(r.Tasks))
-	longestFirst := make([]int, len(r.Tasks))
+	order := make([]int, len(r.Tasks))
 	for at, task := range r.Tasks {
 		lengths[at] = len(encode(task.Checkpoint))
-		longestFirst[at] = at
+		order[at] = at
 	}
-	slices.SortStableFunc(longestFirst, func(a, b int) int { return cmp.Compare(lengths[b], lengths[a]) })
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Or(cmp.Compare(asInt(r.Tasks[a].startsGang), asInt(r.Tasks[b].startsGang)), cmp.Compare(lengths[b], lengths[a]))
+	})
 	empty := len(encode(""))
-	for _, at := range longestFirst {
+	for _, at := range order {
 		if excess <= 0 {
 			return
 		}
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -64,6 +64,8 @@
 	Crashes int
 	// ResumeFrom is what the present run of a gang is started with, if that isn't Checkpoint.
 	ResumeFrom *cottonlanding.Checkpoint
+	// startsGang says that the present run of a gang is started with Checkpoint. It isn't written.
+	startsGang bool
 }
 
 // MarshalJSON writes the fields in order.
@@ -202,7 +204,7 @@
 		return row
 	}
 	j.eachTask(func(t *task) {
-		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.life, t.failures, t.checkpoint.text, t.crashes.Losses, t.crashes.Crashes, t.rowResumeFrom()})
+		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.life, t.failures, t.checkpoint.text, t.crashes.Losses, t.crashes.Crashes, t.rowResumeFrom(), t.startsGang()})
 	})
 	return row
 }
