A text of a row that can't be kept isn't brought either

After a change from an owner of older code to one of this, a start brought a text that no run of its task had made: owners before kept what a decoder had altered, and texts of any length, and the next one brought whatever text a row held. Ruled out: altering at the reading of this code's own rows, which hold only texts that were kept.

Change: texts of rows pass the same rule as those that workers list. It holds because what this code writes passes the rule unchanged.

--- a/internal/workflow/planner/checkpoint.go
+++ b/internal/workflow/planner/checkpoint.go
@@ -57,16 +57,17 @@
 
 // loadCheckpoint takes in the texts of the task's row. The rows of a gang may hold several, of
 // which the first counts: owners before have kept one for each member. That of its first task
-// may hold only the text with which the gang's run is started.
+// may hold only the text with which the gang's run is started. Owners of older code have also
+// kept texts that can't be kept as they are.
 func (t *task) loadCheckpoint(row taskRow, now cottonlanding.Millis) {
 	k := t.keeper()
 	if !t.stage.Checkpoints || k.checkpoint.text != "" || k.resumeFrom.text != "" {
 		return
 	}
-	k.checkpoint = knownCheckpoint{text: row.Checkpoint, how: checkpointLoaded, run: row.Number, worker: row.Life.Worker, at: now}
+	k.checkpoint = knownCheckpoint{text: row.Checkpoint.Kept(), how: checkpointLoaded, run: row.Number, worker: row.Life.Worker, at: now}
 	k.resumeFrom = k.checkpoint
 	if row.ResumeFrom != nil {
-		k.resumeFrom.text = *row.ResumeFrom
+		k.resumeFrom.text = row.ResumeFrom.Kept()
 	}
 }
 
