The test of many large rows has texts to write again

Its rows hold texts for steps that don't checkpoint; since those are dropped when a row is read, the rows were short, and the test passed whatever the plan's bound: seen by taking the bound out, with which it stayed green. With steps that checkpoint it is red without the bound and green with it.

--- a/internal/workflow/planner/fit_test.go
+++ b/internal/workflow/planner/fit_test.go
@@ -30,7 +30,7 @@
 	var specs, states []cottonlanding.Row
 	for at := range workflows {
 		id := cottonlanding.WorkflowID(fmt.Sprintf("w%d", at))
-		spec := fmt.Sprintf(`{"Workflow":{"ID":"%s","Queue":"Urgent","Steps":[{"Tasks":%d,"Resources":{"CPU":100}}]},"Queue":{"Name":"Urgent"}}`, id, tasks)
+		spec := fmt.Sprintf(`{"Workflow":{"ID":"%s","Queue":"Urgent","Steps":[{"Tasks":%d,"Resources":{"CPU":100},"Checkpoints":true}]},"Queue":{"Name":"Urgent"}}`, id, tasks)
 		task := `["",3,"",0,"000003e8482de2d0"],`
 		state := `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[` + strings.TrimSuffix(strings.Repeat(task, tasks), ",") + `]}`
 		specs = append(specs, cottonlanding.Row{Key: planner.SpecKey(partition, id), Version: 1, Value: []byte(spec)})
