--- a/internal/workflow/planner/rounds_test.go
+++ b/internal/workflow/planner/rounds_test.go
@@ -11,8 +11,8 @@
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
-// maxRow is what the table takes as one value, in bytes.
-const maxRow = 64 << 10
+// rowBytes is what the table takes as one value, in bytes.
+const rowBytes = 64 << 10
 
 // A workflow's row holds the tasks of all its rounds, those that are over too, and only the tasks of
 // one round are bounded when it's handed in. So one client's schedule makes a row that the table refuses,
@@ -33,7 +33,7 @@
 				cell.Decide(now, 1_750_000_000_000)
 				if plan := cell.Plan(now); plan != nil {
 					for _, write := range plan.Writes {
-						require.LessOrEqual(t, len(write.Value), maxRow, "the table refuses %s", write.Key)
+						require.LessOrEqual(t, len(write.Value), rowBytes, "the table refuses %s", write.Key)
 					}
 					cell.Committed(plan, 1)
 				}
