Test: a start that is repeated by the next owner, without births, red

Seen: a run lists texts, its row is written for another cause, its worker crashes and is back under its id, and the owner changes. Workers that tell no births leave nothing by which the next owner could tell the lives apart: it repeats the start of run 1, and brings a text that run 1 itself has made. It needs a lost worker and a change of owner.

--- a/internal/workflow/planner/checkpoint_test.go
+++ b/internal/workflow/planner/checkpoint_test.go
@@ -380,3 +380,20 @@
 	require.Empty(t, w.texts.brought[cottonlanding.RunKey{Task: first("slow"), Number: 1}])
 	require.NotEmpty(t, w.texts.brought[cottonlanding.RunKey{Task: first("slow"), Number: 2}])
 }
+
+// The same where workers tell no births: nothing tells the two lives apart then, and the start is
+// repeated. It must bring the text that the run was started with at first, none here, and not one
+// that this run has made since.
+func TestNextOwnerRepeatsAStartWithItsTextWithoutBirths(t *testing.T) {
+	w := savedWorld(t)
+	w.submitSaved("slow", saving(1))
+	w.play(2 * cottonlanding.Second)
+	w.touchAll()
+	for _, info := range w.workers {
+		w.runner.Add(info.ID, 0)
+	}
+	w.takeOver()
+	w.play(2 * cottonlanding.Second)
+	require.Empty(t, w.texts.faults)
+	require.Empty(t, w.texts.brought[cottonlanding.RunKey{Task: first("slow"), Number: 1}])
+}
