The row tells with which text a run is started, for every task

What callers saw: nothing that can be told from the record; a start of run 1 that brings a text which run 1 itself has made. Cause: the row held the newest text alone for tasks without a gang, and a next owner that doesn't find a run in its worker's list repeats its start with the row's text. That is wrong only where the worker is back under its id, and nothing tells its lives apart. Ruled out: writing the text of the run in place of the newest one. It costs nothing, but loses what was done since where owner and worker go together. Change: while a task has a run, its row tells the text with which that is started, if it isn't the newest one. Where a row is too long, such texts are the last to be left out. Why it holds: what a start brings no longer depends on what was listed since, whoever sends it.

--- a/internal/workflow/planner/checkpoint.go
+++ b/internal/workflow/planner/checkpoint.go
@@ -71,25 +71,28 @@
 	}
 }
 
-// rowResumeFrom returns the text that the task's row must hold beside the newest one, or nil:
-// a start of another member may be repeated by the next owner. A task without a gang needs
-// none: the newest text differs only once its own run was listed, and the next owner finds that
-// run listed, or its end, or another birth of its worker.
+// rowResumeFrom returns the text that the task's row must hold beside the newest one, or nil: the
+// next owner may repeat a start of the present run.
 func (t *task) rowResumeFrom() *cottonlanding.Checkpoint {
-	if t.resumeFrom.text == t.checkpoint.text || !t.stage.isPlacedGang() {
+	if t.resumeFrom.text == t.checkpoint.text || !t.placed() {
 		return nil
 	}
 	return &t.resumeFrom.text
 }
 
-// startsGang reports whether the newest text is the one with which the present run of the
-// task's gang is started.
-func (t *task) startsGang() bool {
-	return t.checkpoint.text != "" && t.resumeFrom.text == t.checkpoint.text && t.stage.isPlacedGang()
+// startsRun reports whether the newest text is the one with which the present run of the task,
+// or of its gang, is started.
+func (t *task) startsRun() bool {
+	return t.checkpoint.text != "" && t.resumeFrom.text == t.checkpoint.text && t.placed()
 }
 
-func (s *stage) isPlacedGang() bool {
-	return s.Gang && slices.ContainsFunc(s.tasks, func(member *task) bool { return member.state == taskAssigned })
+// placed reports whether the task has a run that may still be to be started, or another member
+// of the gang for which it holds the texts.
+func (t *task) placed() bool {
+	if !t.stage.Gang {
+		return t.state == taskAssigned
+	}
+	return slices.ContainsFunc(t.stage.tasks, func(member *task) bool { return member.state == taskAssigned })
 }
 
 // fixCheckpoint has the run that is being placed begin with the newest text. The members of a
--- a/internal/workflow/planner/fit.go
+++ b/internal/workflow/planner/fit.go
@@ -14,8 +14,8 @@
 
 // encodeFitting encodes a state row so that the table takes it: an owner whose commit is
 // refused loses its cell. Checkpoints for which there is no room are left out, the longest
-// first, but those of gangs whose runs are started with them last: all members must bring the
-// same. The next owner starts the other tasks without one if their runs don't go on.
+// first, but those with which present runs are started last: a start that the next owner repeats
+// must bring the same. It starts the other tasks without one if their runs don't go on.
 func encodeFitting(row stateRow) []byte {
 	data := encode(row)
 	if excess := len(data) - maxRow; excess > 0 {
@@ -34,7 +34,7 @@
 		order[at] = at
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return cmp.Or(cmp.Compare(asInt(r.Tasks[a].startsGang), asInt(r.Tasks[b].startsGang)), cmp.Compare(lengths[b], lengths[a]))
+		return cmp.Or(cmp.Compare(asInt(r.Tasks[a].startsRun), asInt(r.Tasks[b].startsRun)), cmp.Compare(lengths[b], lengths[a]))
 	})
 	empty := len(encode(""))
 	for _, at := range order {
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -62,10 +62,10 @@
 	// Losses and Crashes are the task's CrashRecord.
 	Losses  int
 	Crashes int
-	// ResumeFrom is what the present run of a gang is started with, if that isn't Checkpoint.
+	// ResumeFrom is what the present run is started with, if that isn't Checkpoint.
 	ResumeFrom *cottonlanding.Checkpoint
-	// startsGang says that the present run of a gang is started with Checkpoint. It isn't written.
-	startsGang bool
+	// startsRun says that the present run is started with Checkpoint. It isn't written.
+	startsRun bool
 }
 
 // MarshalJSON writes the fields in order.
@@ -204,7 +204,7 @@
 		return row
 	}
 	j.eachTask(func(t *task) {
-		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.life, t.failures, t.checkpoint.text, t.crashes.Losses, t.crashes.Crashes, t.rowResumeFrom(), t.startsGang()})
+		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.life, t.failures, t.checkpoint.text, t.crashes.Losses, t.crashes.Crashes, t.rowResumeFrom(), t.startsRun()})
 	})
 	return row
 }
