--- a/internal/workflow/gateway/backlog_test.go
+++ b/internal/workflow/gateway/backlog_test.go
@@ -25,10 +25,10 @@
 	}
 }
 
-// A lasting workflow waited at a home that was full and whose workers were then cut off, while in
-// the other cells it would have begun at once: their work was short, each task ended within a tenth
-// of a second, and a lasting one goes before it. Short tasks that waited there counted as room
-// that was taken, so that no cell seemed to have room for as long as some waited.
+// A lasting workflow waits at a home that is full, whose workers are then cut off. In the other
+// cells it would begin at once: their work is short, each task ends within a tenth of a second, and a
+// lasting one goes before it. But short tasks that wait there count as room that is taken, so that
+// no cell seems to have room for as long as some wait, and the workflow isn't handed over.
 func TestLastingWorkflowLeavesADeadHomeForCellsOfShortTasks(t *testing.T) {
 	d := deployCells(t, cells)
 	d.settled()
--- a/internal/workflow/gateway/room.go
+++ b/internal/workflow/gateway/room.go
@@ -108,23 +108,17 @@
 // otherCell is what is known here of the room of another cell.
 type otherCell struct {
 	cottonlanding.CellView
-	// lasting is the part of the capacity that is left for lasting tasks.
-	lasting  float64
 	capacity cottonlanding.Millicores
 }
 
 func (s *seat) other(homes int, now cottonlanding.Millis) otherCell {
 	left, usable := s.left()
-	told := viewOf(s.cell, left, usable)
-	view := s.less(told, left.Capacity, homes, now)
-	untold := told.Free - view.Free
-	return otherCell{view, max(left.Lasting, left.Free) - untold, left.Capacity}
+	return otherCell{s.less(viewOf(s.cell, left, usable), left.Capacity, homes, now), left.Capacity}
 }
 
-// holds reports whether the cell has room for the lasting tasks of a workflow, once short ones
-// have ended.
+// holds reports whether the cell has room for work.
 func (o otherCell) holds(work demand) bool {
-	return o.Usable && enough(o.lasting, work.reserved, o.capacity) && enough(o.Spare, work.filling, o.capacity)
+	return o.Usable && enough(o.Free, work.reserved, o.capacity) && enough(o.Spare, work.filling, o.capacity)
 }
 
 // enough reports whether a part of a capacity is enough for a demand. Where nothing is asked
--- a/internal/workflow/planner/report.go
+++ b/internal/workflow/planner/report.go
@@ -14,9 +14,6 @@
 	// Spare is the part that all runs are expected to leave unused, less what filling
 	// tasks wait for.
 	Spare float64
-	// Lasting is the part that lasting tasks neither hold nor wait for. All others end some
-	// time, and lasting ones go before them. Owners of older code don't tell it.
-	Lasting float64
 	// Capacity is the processors of the usable workers.
 	Capacity cottonlanding.Millicores
 }
@@ -31,7 +28,7 @@
 }
 
 func (c *Cell) workOutReport(now cottonlanding.Millis) (Report, bool) {
-	var capacity, free, spare, lasting cottonlanding.Millicores
+	var capacity, free, spare cottonlanding.Millicores
 	for _, w := range c.sortedWorkers() {
 		if !w.usable(now) {
 			continue
@@ -40,7 +37,6 @@
 		capacity += w.info.Capacity.CPU
 		free += max(room.free.CPU, 0)
 		spare += max(room.spare, 0)
-		lasting += max(w.freeForLasting(), 0)
 	}
 	if capacity == 0 {
 		return Report{}, false
@@ -54,11 +50,8 @@
 				waits := cottonlanding.Millicores(s.waiting()) * s.Resources.CPU
 				if s.Fills {
 					spare -= waits
-					continue
-				}
-				free -= waits
-				if s.Lasting {
-					lasting -= waits
+				} else {
+					free -= waits
 				}
 			}
 		}
@@ -66,18 +59,6 @@
 	return Report{
 		Free:     float64(free) / float64(capacity),
 		Spare:    float64(spare) / float64(capacity),
-		Lasting:  float64(lasting) / float64(capacity),
 		Capacity: capacity,
 	}, true
 }
-
-// freeForLasting returns the processors that no lasting run holds.
-func (w *worker) freeForLasting() cottonlanding.Millicores {
-	free := w.info.Capacity.CPU
-	for _, r := range w.runs.all() {
-		if r.step.Lasting {
-			free -= r.step.Reserved().CPU
-		}
-	}
-	return free
-}
