A test of rows with the texts of present runs (red)

The text with which a run is started stands in the row beside a newer one, and isn't left out of a row that is too long: the table refuses it, and the owner loses its cell.

--- /dev/null
+++ b/internal/workflow/planner/fitresume_test.go
@@ -0,0 +1,43 @@
+package planner_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// A row also tells with which texts present runs are started, once newer ones are listed. These
+// weren't left out of a row that was too long, however many there were: the table refused it, and
+// the owner lost its cell, as each one after it.
+func TestRowsWithTextsOfPresentRunsFit(t *testing.T) {
+	long := strings.Repeat("\x01", cottonlanding.MaxCheckpoint) // each byte takes six in the row
+	escaped := strings.Repeat(`\u0001`, cottonlanding.MaxCheckpoint)
+	for name, step := range map[string]cottonlanding.Step{"tasks": saving(1), "gangs": savingGang(2)} {
+		t.Run(name, func(t *testing.T) {
+			const count = 12
+			w := savedWorld(t)
+			w.timing.LongestLease = w.timing.Lease + 4*cottonlanding.Second
+			var steps []cottonlanding.Step
+			var rows []string
+			for at := range count {
+				steps = append(steps, step)
+				for index := range step.Tasks {
+					w.texts.note(cottonlanding.TaskRef{Workflow: "slow", Step: at, Index: index}, cottonlanding.Checkpoint(long))
+					rows = append(rows, `["",1,"",0,"`+escaped+`"]`)
+				}
+			}
+			w.loadRow("slow", `{"State":"Running","Begun":true,"Rounds":1,"Tasks":[`+strings.Join(rows, ",")+`]}`, steps...)
+			for range 20 {
+				w.turn(turnSpan)
+				w.touchAll()
+				require.LessOrEqual(t, len(w.rows[planner.StateKey(partition, "slow")].Value), rowBytes)
+			}
+			require.NotZero(t, w.runner.Starts())
+			require.Empty(t, w.texts.faults)
+		})
+	}
+}
