A workflow whose queue was removed isn't handed over

A workflow that waited while operators removed its queue could be handed over to another cell, which refuses it as a new one of a queue that it doesn't know, each time that it's told of it: it waited for good, shown as pending. Ruled out: telling the queue with the workflow, which owners of older code don't read.

Change: only workflows of queues that are known may leave. One that was handed over just before its queue is removed still isn't taken; the other cell must then have read the change first.

--- a/internal/workflow/planner/handover.go
+++ b/internal/workflow/planner/handover.go
@@ -28,6 +28,9 @@
 }
 
 func (c *Cell) mayLeave(j *job, now cottonlanding.Millis) bool {
+	if _, known := c.queues.Queues[j.Queue]; !known {
+		return false // other cells take no workflow of a queue that was removed
+	}
 	waits := now-j.accepted >= moveAfter && !j.begun && !j.state.Final() && j.Schedule.Rounds == 0
 	return waits && j.committed && c.dirty[j.ID] == nil && (c.inFlight == nil || !c.inFlight.includes(j.ID))
 }
