Filling tasks hold no processors for good

What callers saw: a lasting workflow that waited at a full home wasn't handed over to a cell that ran nothing but lasting tasks that fill. Cause: their processors counted as held for good in what owners tell, while they take only what others leave. Change: what is reserved counts, there and for what is asked. Why it holds: it is the room by which tasks are placed.

--- a/internal/workflow/gateway/room.go
+++ b/internal/workflow/gateway/room.go
@@ -19,7 +19,7 @@
 type referredWork struct {
 	at cottonlanding.Millis
 	// reserved is those for which the work has room reserved, filling those that its filling
-	// tasks use; lasting is that part of both that its lasting tasks hold.
+	// tasks use; lasting is the part of reserved that its lasting tasks hold.
 	reserved, filling, lasting cottonlanding.Millicores
 }
 
@@ -42,13 +42,13 @@
 	s.referred = append(s.referred, work)
 }
 
-// lastingCPU adds up the processors that lasting tasks of a workflow ask for at first; tasks
+// lastingCPU adds up the processors that lasting tasks of a workflow have reserved at first; tasks
 // says how many of a step's tasks count.
 func lastingCPU(workflow cottonlanding.Workflow, tasks func(cottonlanding.Step) int) cottonlanding.Millicores {
 	sum := cottonlanding.Millicores(0)
 	for _, step := range workflow.Steps {
 		if step.Lasting && len(step.After) == 0 {
-			sum += cottonlanding.Millicores(tasks(step)) * step.Resources.CPU
+			sum += cottonlanding.Millicores(tasks(step)) * step.Reserved().CPU
 		}
 	}
 	return sum
--- a/internal/workflow/planner/report.go
+++ b/internal/workflow/planner/report.go
@@ -57,7 +57,7 @@
 				} else {
 					free -= waits
 				}
-				if s.Lasting {
+				if s.Lasting && !s.Fills {
 					lasting += waits
 				}
 			}
@@ -71,12 +71,13 @@
 	}, true
 }
 
-// heldForGood adds up the processors of the lasting tasks that a worker runs.
+// heldForGood adds up the processors that a worker has reserved for lasting tasks. Those that fill
+// hold none.
 func (w *worker) heldForGood() cottonlanding.Millicores {
 	sum := cottonlanding.Millicores(0)
 	for _, r := range w.runs.all() {
 		if r.step.Lasting && !r.stopping {
-			sum += r.step.Resources.CPU
+			sum += r.step.Reserved().CPU
 		}
 	}
 	return sum
