--- a/internal/workflow/gateway/cells_test.go
+++ b/internal/workflow/gateway/cells_test.go
@@ -96,7 +96,7 @@
 			referred += counts.Referred
 		}
 	}
-	t.Logf("%d of %d workflows were referred", referred, lasting)
+	t.Logf("%d of %d workflows were referred, %d handed over", referred, lasting, d.handedOver())
 	require.Positive(t, referred)
 	for number := range lasting {
 		id := cottonlanding.WorkflowID(fmt.Sprintf("lasting%d", number))
