--- a/checkpoint_test.go
+++ b/checkpoint_test.go
@@ -14,9 +14,9 @@
 func TestCheckpointIsKeptWholeOrNotAtAll(t *testing.T) {
 	longest := cottonlanding.Checkpoint(strings.Repeat("c", cottonlanding.MaxCheckpoint))
 	for _, text := range []cottonlanding.Checkpoint{"", "000003e8482de2d0", longest, "<\"\\\x00\u2028\U0001F33E>"} {
-		require.Equal(t, text, text.Kept())
+		require.Equal(t, text, cottonlanding.NewCheckpoint(string(text)))
 	}
 	for _, text := range []cottonlanding.Checkpoint{"000003e8\ufffd", "\xff", "a\xed\xa0\x80", longest + "c"} {
-		require.Empty(t, text.Kept(), "%q", text)
+		require.Empty(t, cottonlanding.NewCheckpoint(string(text)), "%q", text)
 	}
 }
--- a/internal/workflow/gateway/room.go
+++ b/internal/workflow/gateway/room.go
@@ -159,8 +159,8 @@
 }
 
 // move returns the cell to which a workflow that waits at this home is to go. It can't leave
-// that again: with lasting tasks it waits here until a cell has room for them, rather than
-// where less waits.
+// that again, since only its home says where it is: with lasting tasks it waits here until a cell
+// has room for them, rather than where less waits.
 func (s *seat) move(workflow cottonlanding.Workflow, left planner.Report, usable bool) (cottonlanding.CellNumber, bool) {
 	return s.choose(workflow, left, usable, thatHold(workflow, s.others()))
 }
--- a/internal/workflow/planner/checkpoint.go
+++ b/internal/workflow/planner/checkpoint.go
@@ -64,10 +64,10 @@
 	if !t.stage.Checkpoints || k.checkpoint.text != "" || k.resumeFrom.text != "" {
 		return
 	}
-	k.checkpoint = knownCheckpoint{text: row.Checkpoint.Kept(), how: checkpointLoaded, run: row.Number, worker: row.Life.Worker, at: now}
+	k.checkpoint = knownCheckpoint{text: cottonlanding.NewCheckpoint(string(row.Checkpoint)), how: checkpointLoaded, run: row.Number, worker: row.Life.Worker, at: now}
 	k.resumeFrom = k.checkpoint
 	if row.ResumeFrom != nil {
-		k.resumeFrom.text = row.ResumeFrom.Kept()
+		k.resumeFrom.text = cottonlanding.NewCheckpoint(string(*row.ResumeFrom))
 	}
 }
 
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -81,8 +81,8 @@
 	number   cottonlanding.RunNumber
 	failures int
 	crashes  cottonlanding.CrashRecord
-	// checkpoint is the newest text of the task or of its gang, resumeFrom the one with which
-	// its present run is started: see keeper.
+	// checkpoint is the newest text of the task, resumeFrom the one with which its present run is
+	// started. Of a gang's tasks only the first has them, for all: see keeper.
 	checkpoint knownCheckpoint
 	resumeFrom knownCheckpoint
 	// life is where the last run was placed.
--- a/internal/workflow/planner/life.go
+++ b/internal/workflow/planner/life.go
@@ -143,6 +143,7 @@
 // reach it, or has since its list was made, the task waits until it has ruled them out; all
 // others have ended with the life.
 func (c *Cell) settleEarlier(w *worker, report cottonlanding.RunReport, sentAt, now cottonlanding.Millis) {
+	// lost holds also those that the present life may have taken since: see loseEarlier.
 	var lost, unsent []*run
 	for _, r := range w.runs.snapshot() {
 		switch {
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -196,8 +196,8 @@
 	})
 }
 
-// row returns the job's state for its row. Of a final job no tasks are kept but
-// those that may still run.
+// row returns the job's state for its row. Of a job that has succeeded no tasks are kept; those
+// of one that failed or was cancelled may still run.
 func (j *job) row() stateRow {
 	row := stateRow{State: j.state, Reason: j.reason, Begun: j.begun, Rounds: len(j.rounds)}
 	if j.state == cottonlanding.WorkflowSucceeded {
