--- a/internal/workflow/gateway/room.go
+++ b/internal/workflow/gateway/room.go
@@ -10,8 +10,8 @@
 
 // untoldFor is how long what was referred to a cell may be missing from what its owner
 // tells: until it is committed here and there, told with a beat, and that is read here.
-// Two hundred lasting workflows came within a second; with less than that, cells took more
-// of them than they could hold, for good.
+// Where hundreds of lasting workflows come within a second, a shorter span has cells take more of
+// them than they can hold, for good.
 const untoldFor = 2 * cottonlanding.Second
 
 // referredWork is what this host has referred to a cell of late: the processors that its
--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -21,9 +21,8 @@
 	// it, and for its task to be cleared of earlier losses.
 	soon = 10 * cottonlanding.Second
 	// just is how long before the end of its worker a run may have begun to be a suspect
-	// before all others: ten milliseconds as seen, and what it takes a busy owner to notice.
-	// With 600 ms, one innocent workflow in some 4,500 was given up beside single workers that
-	// crashed for no cause of ours.
+	// before all others: ten milliseconds, and what it takes a busy owner to notice. A longer span
+	// has innocent workflows given up beside workers that crash for no cause of ours.
 	just = 300 * cottonlanding.Millis(1)
 	// together is how far apart workers may fall silent for one outer cause: an owner's
 	// looks at busy workers last that long, and it notices a cut by the next one.
