What lasting tasks hold is asked of passing, which knew it

heldForGood went through a worker's runs once more by the same rule. No change of behaviour: planner and gateway tests of reports and moves pass.

--- a/internal/workflow/planner/report.go
+++ b/internal/workflow/planner/report.go
@@ -40,7 +40,7 @@
 		capacity += w.info.Capacity.CPU
 		free += max(room.free.CPU, 0)
 		spare += max(room.spare, 0)
-		lasting += w.heldForGood()
+		lasting += w.info.Capacity.CPU - w.passing().CPU
 	}
 	if capacity == 0 {
 		return Report{}, false
@@ -54,10 +54,10 @@
 				waits := cottonlanding.Millicores(s.waiting()) * s.Resources.CPU
 				if s.Fills {
 					spare -= waits
-				} else {
-					free -= waits
+					continue
 				}
-				if s.Lasting && !s.Fills {
+				free -= waits
+				if s.Lasting {
 					lasting += waits
 				}
 			}
@@ -70,15 +70,3 @@
 		Capacity: capacity,
 	}, true
 }
-
-// heldForGood adds up the processors that a worker has reserved for lasting tasks. Those that fill
-// hold none.
-func (w *worker) heldForGood() cottonlanding.Millicores {
-	sum := cottonlanding.Millicores(0)
-	for _, r := range w.runs.all() {
-		if r.step.Lasting && !r.stopping {
-			sum += r.step.Reserved().CPU
-		}
-	}
-	return sum
-}
