What is left of a workflow is worked out once a change, not in each decision

The work, objective and chain of each open workflow were worked out anew for its rank, while lateAt kept the same for those that last: one rule in two places, one of them on the way of every decision. One outlook, forgotten where lateAt was; late is its slack below zero. overdue is a bool, as asInt makes it a number where it is compared.

--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -181,7 +181,7 @@
 	c.queues = queues
 	for _, j := range c.jobs {
 		if queue, known := queues.Queues[j.Queue]; known {
-			j.queue, j.lateAt = queue, 0
+			j.queue, j.outlook = queue, nil
 		}
 	}
 }
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -19,9 +19,8 @@
 	// sequence orders jobs by acceptance.
 	sequence int64
 	rounds   map[int]*round
-	// lateAt is when the workflow can't be done in its time any more, zero before it
-	// was asked for and when it must be worked out anew.
-	lateAt cottonlanding.Millis
+	// outlook is what is left to be done, nil when it must be worked out anew.
+	outlook *outlook
 	// lasts says that a step of the job is lasting, missed that a task of such a step
 	// was interrupted and has waited for long.
 	lasts, missed bool
@@ -123,6 +122,7 @@
 		r.steps = append(r.steps, s)
 	}
 	j.rounds[number] = r
+	j.outlook = nil
 	r.unlock(now)
 	return r
 }
@@ -319,49 +319,3 @@
 func (c *Cell) expired(j *job, now cottonlanding.Millis) bool {
 	return j.state.Final() && now-j.ended > c.timing.Retention
 }
-
-// lateness is 1 for a workflow that can't be done in its time any more, else 0.
-// One that lasts counts as late once its latency target has passed: it can wait,
-// while short ones of the same priority are worth most if they are done soon.
-func (j *job) lateness(now cottonlanding.Millis) int {
-	if j.queue.Stretch <= 0 || j.Schedule.Rounds > 0 {
-		return 0
-	}
-	if j.lateAt == 0 {
-		j.lateAt = j.accepted + j.objective() - j.chainLeft()
-	}
-	if now <= j.lateAt {
-		return 0
-	}
-	return 1
-}
-
-// objective is the time in which the workflow should be done.
-func (j *job) objective() cottonlanding.Millis {
-	chain := j.longestChain(func(*stage) bool { return true })
-	return cottonlanding.Millis(j.queue.Stretch*float64(chain)) + j.queue.LatencyTarget
-}
-
-// chainLeft is the longest chain of estimates through the steps that are not done.
-func (j *job) chainLeft() cottonlanding.Millis {
-	return j.longestChain(func(s *stage) bool { return !s.finished() })
-}
-
-func (j *job) longestChain(counts func(*stage) bool) cottonlanding.Millis {
-	r := j.rounds[0]
-	if r == nil {
-		return 0
-	}
-	longest := cottonlanding.Millis(0)
-	upTo := make([]cottonlanding.Millis, len(r.steps))
-	for i, s := range r.steps {
-		for _, earlier := range s.After {
-			upTo[i] = max(upTo[i], upTo[earlier])
-		}
-		if counts(s) {
-			upTo[i] += s.Estimate
-		}
-		longest = max(longest, upTo[i])
-	}
-	return longest
-}
--- /dev/null
+++ b/internal/workflow/planner/outlook.go
@@ -0,0 +1,75 @@
+package planner
+
+import "github.com/cottonlanding/cottonlanding"
+
+// outlook is what is left to be done of a workflow, by its client's estimates. It changes only
+// when tasks are done, a round is added or the queue does, while each decision asks for that
+// of every open workflow.
+type outlook struct {
+	// work is that of all tasks, left that of those that aren't done, in
+	// millicore-milliseconds.
+	work, left float64
+	// objective is the time in which the workflow should be done, chainLeft the longest chain
+	// of estimates through the steps that aren't; both only where its queue has an objective.
+	objective, chainLeft cottonlanding.Millis
+}
+
+// ahead returns the outlook of a workflow.
+func (j *job) ahead() outlook {
+	if j.outlook == nil {
+		j.outlook = &outlook{}
+		j.outlook.work, j.outlook.left = j.work()
+		if j.queue.Stretch > 0 {
+			chain := j.longestChain(func(*stage) bool { return true })
+			j.outlook.objective = cottonlanding.Millis(j.queue.Stretch*float64(chain)) + j.queue.LatencyTarget
+			j.outlook.chainLeft = j.longestChain(func(s *stage) bool { return !s.finished() })
+		}
+	}
+	return *j.outlook
+}
+
+// slack is how much longer a workflow may wait to be done in its time, negative for one that
+// can't be any more.
+func (j *job) slack(now cottonlanding.Millis) cottonlanding.Millis {
+	ahead := j.ahead()
+	return ahead.objective - (now - j.accepted) - ahead.chainLeft
+}
+
+// late reports whether a workflow can't be done in its time any more. One that lasts counts as
+// late once its latency target has passed: it can wait, while short ones of the same priority
+// are worth most if they are done soon.
+func (j *job) late(now cottonlanding.Millis) bool {
+	return j.queue.Stretch > 0 && j.Schedule.Rounds == 0 && j.slack(now) < 0
+}
+
+// work returns the work of all tasks and of those that aren't done, by the client's estimates,
+// in millicore-milliseconds.
+func (j *job) work() (all, left float64) {
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			each := float64(s.Estimate) * float64(s.Resources.CPU)
+			all += each * float64(len(s.tasks))
+			left += each * float64(len(s.tasks)-s.done)
+		}
+	}
+	return all, left
+}
+
+func (j *job) longestChain(counts func(*stage) bool) cottonlanding.Millis {
+	r := j.rounds[0]
+	if r == nil {
+		return 0
+	}
+	longest := cottonlanding.Millis(0)
+	upTo := make([]cottonlanding.Millis, len(r.steps))
+	for i, s := range r.steps {
+		for _, earlier := range s.After {
+			upTo[i] = max(upTo[i], upTo[earlier])
+		}
+		if counts(s) {
+			upTo[i] += s.Estimate
+		}
+		longest = max(longest, upTo[i])
+	}
+	return longest
+}
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -157,7 +157,7 @@
 	slices.SortFunc(ids, func(a, b cottonlanding.WorkflowID) int {
 		x, y := c.dirty[a], c.dirty[b]
 		return cmp.Or(
-			cmp.Compare(c.overdue(y), c.overdue(x)),
+			cmp.Compare(asInt(c.overdue(y)), asInt(c.overdue(x))),
 			cmp.Compare(x.queue.Priority, y.queue.Priority),
 			cmp.Compare(x.sequence, y.sequence),
 		)
@@ -165,13 +165,8 @@
 	return ids
 }
 
-// overdue is 1 for a job whose change was left out of several plans, else 0.
-func (c *Cell) overdue(j *job) int {
-	if c.plans-j.dirtySince > overdueAfter {
-		return 1
-	}
-	return 0
-}
+// overdue reports whether a job's change was left out of several plans.
+func (c *Cell) overdue(j *job) bool { return c.plans-j.dirtySince > overdueAfter }
 
 func (c *Cell) planJob(plan *Plan, j *job, now cottonlanding.Millis) {
 	spec, state := SpecKey(c.setup.Partition, j.ID), StateKey(c.setup.Partition, j.ID)
--- a/internal/workflow/planner/rank.go
+++ b/internal/workflow/planner/rank.go
@@ -18,7 +18,7 @@
 	for _, j := range c.order {
 		j.missed = j.lasts && j.missesTask(now)
 		if j.lasts || j.Schedule.Rounds > 0 {
-			j.rank = cottonlanding.Rank{Class: j.lateness(now), Score: j.lastingScore()}
+			j.rank = cottonlanding.Rank{Class: asInt(j.late(now)), Score: j.lastingScore()}
 			continue
 		}
 		j.rank = c.policy.Ranking.Rank(c.rankView(j, now))
@@ -52,31 +52,24 @@
 }
 
 func (c *Cell) rankView(j *job, now cottonlanding.Millis) cottonlanding.RankView {
-	view := cottonlanding.RankView{Age: now - j.accepted, MeanWork: c.meanWork[j.Queue]}
-	view.Work, view.Left = j.work()
+	ahead := j.ahead()
+	view := cottonlanding.RankView{
+		Age:       now - j.accepted,
+		Objective: ahead.objective,
+		ChainLeft: ahead.chainLeft,
+		Work:      ahead.work,
+		Left:      ahead.left,
+		MeanWork:  c.meanWork[j.Queue],
+	}
 	if j.queue.Stretch > 0 {
-		view.Objective, view.ChainLeft = j.objective(), j.chainLeft()
-		view.Slack = view.Objective - view.Age - view.ChainLeft
+		view.Slack = j.slack(now)
 	}
 	return view
 }
 
-// work returns the work of all tasks and of those that aren't done, by the client's estimates,
-// in millicore-milliseconds.
-func (j *job) work() (all, left float64) {
-	for _, r := range j.rounds {
-		for _, s := range r.steps {
-			each := float64(s.Estimate) * float64(s.Resources.CPU)
-			all += each * float64(len(s.tasks))
-			left += each * float64(len(s.tasks)-s.done)
-		}
-	}
-	return all, left
-}
-
 // noteWork takes a workflow into the mean work of its queue's.
 func (c *Cell) noteWork(j *job) {
-	all, _ := j.work()
+	all := j.ahead().work
 	mean, known := c.meanWork[j.Queue]
 	if !known {
 		mean = all
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -93,7 +93,7 @@
 		}
 	}
 	j := t.job
-	j.lateAt = 0
+	j.outlook = nil
 	j.rounds[t.ref.Round].unlock(now)
 	c.touch(j)
 	if j.finished() {
