--- a/internal/workflow/planner/evacuate.go
+++ b/internal/workflow/planner/evacuate.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -110,26 +111,19 @@
 
 // tellEvacuated logs each data centre that was evacuated or taken back: how many workers it
 // has, what goes on there, and how many starts were taken back.
-func (c *Cell) tellEvacuated(before cottonlanding.Evacuations, workers []*worker, starts int64, now cottonlanding.Millis) {
-	var told []cottonlanding.DataCentre
-	for _, w := range workers {
-		place := w.info.DataCentre
-		if slices.Contains(told, place) {
-			continue
-		}
-		told = append(told, place)
+func (c *Cell) tellEvacuated(before cottonlanding.Evacuations, moved []*worker, starts int64, now cottonlanding.Millis) {
+	workers := make(map[cottonlanding.DataCentre]int)
+	runs := make(map[cottonlanding.DataCentre]int)
+	for _, w := range moved {
+		workers[w.info.DataCentre]++
+		runs[w.info.DataCentre] += w.runs.size()
+	}
+	for _, place := range slices.Sorted(maps.Keys(workers)) {
 		order, evacuated := c.evacuations.Ordered[place]
 		if !evacuated {
 			order = before.Ordered[place]
 		}
-		count, runs := 0, 0
-		for _, other := range workers {
-			if other.info.DataCentre == place {
-				count++
-				runs += other.runs.size()
-			}
-		}
 		c.log.Info("data centre evacuated", "DataCentre", place, "Evacuated", evacuated, "Version", order.Version,
-			"KnownFor", now-order.KnownAt, "Workers", count, "Runs", runs, "StartsTakenBack", starts)
+			"KnownFor", now-order.KnownAt, "Workers", workers[place], "Runs", runs[place], "StartsTakenBack", starts)
 	}
 }
--- a/internal/workflow/planner/pace.go
+++ b/internal/workflow/planner/pace.go
@@ -26,8 +26,7 @@
 	// pacePatience is how long a filling task stands still before it is moved. A step ends
 	// with its last task: with a tenth of the tasks standing still, nearly each step of twenty
 	// has such a one, and a task takes two seconds. It outlasts a figure that was wrong, of
-	// half a second. With 1.5 s, a twentieth less of the filling work was done in its time on
-	// overloaded days; 0.15 and 0.4 s were no better.
+	// half a second.
 	pacePatience = 700 * cottonlanding.Millis(1)
 	// mostWaste is the progress, in percent, up to which a run without checkpoints
 	// is thrown away for a better place.
