--- a/internal/workflow/planner/checkpoint_test.go
+++ b/internal/workflow/planner/checkpoint_test.go
@@ -229,6 +229,15 @@
 	}
 }
 
+// requireRepeated has the next owner take over, and checks that it repeats the starts that were
+// lost, with the texts that they had to bring.
+func requireRepeated(t *testing.T, w *world, starts int) {
+	w.takeOver()
+	w.play(2 * cottonlanding.Second)
+	require.Equal(t, starts, w.runner.Starts())
+	require.Empty(t, w.texts.faults)
+}
+
 // turnWithout is turn with the starts of one task lost.
 func (w *world) turnWithout(task cottonlanding.TaskRef) {
 	w.now += turnSpan
@@ -336,10 +345,7 @@
 			}
 			w.cell.Touch("slow")
 			w.commit()
-			w.takeOver()
-			w.play(2 * cottonlanding.Second)
-			require.Equal(t, 2, w.runner.Starts())
-			require.Empty(t, w.texts.faults)
+			requireRepeated(t, w, 2)
 		})
 	}
 }
--- a/internal/workflow/planner/fit_test.go
+++ b/internal/workflow/planner/fit_test.go
@@ -22,6 +22,25 @@
 	entryOverhead = 300
 )
 
+// cellOf returns a cell that knows one queue, and no workers.
+func cellOf(queue cottonlanding.QueueName) *planner.Cell {
+	cell := planner.New(planner.Setup{Partition: partition, Epoch: 1}, timing, selector.Default().Planner, quiet())
+	cell.SetQueues(cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{queue: {Name: queue, Service: "S"}}})
+	return cell
+}
+
+// commitFitting commits what a cell has to commit, each row of which the table must take.
+func commitFitting(t *testing.T, cell *planner.Cell, now cottonlanding.Millis) {
+	plan := cell.Plan(now)
+	if plan == nil {
+		return
+	}
+	for _, write := range plan.Writes {
+		require.LessOrEqual(t, len(write.Value), maxRow, "the table refuses %s", write.Key)
+	}
+	cell.Committed(plan, 1)
+}
+
 // TestManyLargeRowsAreCommittedInTurn: where many large workflows change at once, here by their
 // clients' cancelling them, their rows together are more than the table takes in one
 // transaction. An owner whose commit is refused loses its cell, and the next one has the same
--- a/internal/workflow/planner/fitgang_test.go
+++ b/internal/workflow/planner/fitgang_test.go
@@ -27,10 +27,7 @@
 	}
 	require.Equal(t, 1, w.runner.Starts())
 	w.touchAll()
-	w.takeOver()
-	w.play(2 * cottonlanding.Second)
-	require.Equal(t, 2, w.runner.Starts())
-	require.Empty(t, w.texts.faults)
+	requireRepeated(t, w, 2)
 }
 
 // The same where only the newest text was left out, and the row still tells with which one the
--- a/internal/workflow/planner/fitresume_test.go
+++ b/internal/workflow/planner/fitresume_test.go
@@ -34,7 +34,7 @@
 			for range 20 {
 				w.turn(turnSpan)
 				w.touchAll()
-				require.LessOrEqual(t, len(w.rows[planner.StateKey(partition, "slow")].Value), rowBytes)
+				require.LessOrEqual(t, len(w.rows[planner.StateKey(partition, "slow")].Value), maxRow)
 			}
 			require.NotZero(t, w.runner.Starts())
 			require.Empty(t, w.texts.faults)
--- a/internal/workflow/planner/longids_test.go
+++ b/internal/workflow/planner/longids_test.go
@@ -4,11 +4,7 @@
 	"strings"
 	"testing"
 
-	"github.com/stretchr/testify/require"
-
 	"github.com/cottonlanding/cottonlanding"
-	"github.com/cottonlanding/cottonlanding/internal/policy/selector"
-	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
 // A row holds the id of the worker of each task that is placed. Ids are keys of the platform's, of up to 200 bytes;
@@ -20,23 +16,15 @@
 		ID: cottonlanding.WorkerID(strings.Repeat("i", idLength)), Born: 1_750_000_000_000, Address: "a", Service: "S", State: cottonlanding.Live,
 		Capacity: cottonlanding.Resources{CPU: tasks},
 	}
-	cell := planner.New(planner.Setup{Partition: partition, Epoch: 1}, timing, selector.Default().Planner, quiet())
-	cell.SetQueues(cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{"Q": {Name: "Q", Service: "S"}}})
+	cell := cellOf("Q")
 	cell.SetWorkers([]cottonlanding.WorkerInfo{worker}, 1000)
 	step := cottonlanding.Step{Tasks: tasks, Resources: cottonlanding.Resources{CPU: 1}, Lasting: true}
 	cell.Submit(cottonlanding.Workflow{ID: "large", Queue: "Q", Steps: []cottonlanding.Step{step}}, 1000, func(error) {}) // it may be refused
-	longest := 0
 	for now := cottonlanding.Millis(1000); now < 4000; now += 100 {
 		if next, found := cell.NextLook(worker.ID, now); found {
 			cell.Looked(next, cottonlanding.RunReport{Born: worker.Born, Reading: cottonlanding.Reading(now)}, now, now)
 		}
 		cell.Decide(now, 1_750_000_000_000)
-		if plan := cell.Plan(now); plan != nil {
-			for _, write := range plan.Writes {
-				longest = max(longest, len(write.Value))
-			}
-			cell.Committed(plan, 1)
-		}
+		commitFitting(t, cell, now)
 	}
-	require.LessOrEqual(t, longest, rowBytes)
 }
--- a/internal/workflow/planner/rounds_test.go
+++ b/internal/workflow/planner/rounds_test.go
@@ -4,16 +4,9 @@
 	"fmt"
 	"testing"
 
-	"github.com/stretchr/testify/require"
-
 	"github.com/cottonlanding/cottonlanding"
-	"github.com/cottonlanding/cottonlanding/internal/policy/selector"
-	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
-// rowBytes is what the table takes as one value, in bytes.
-const rowBytes = 64 << 10
-
 // A workflow's row holds the tasks of all its rounds, those that are over too, and only the tasks of
 // one round are bounded when it's handed in. So one client's schedule makes a row that the table refuses,
 // and with it the owner loses its cell, as does each one after it. Rounds whose first time lies
@@ -21,8 +14,7 @@
 func TestRowsOfManyRoundsFit(t *testing.T) {
 	for _, one := range []struct{ tasks, rounds int }{{1, 30_000}, {1000, 30}} {
 		t.Run(fmt.Sprintf("%d rounds of %d", one.rounds, one.tasks), func(t *testing.T) {
-			cell := planner.New(planner.Setup{Partition: partition, Epoch: 1}, timing, selector.Default().Planner, quiet())
-			cell.SetQueues(cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{"Q": {Name: "Q", Service: "S"}}})
+			cell := cellOf("Q")
 			workflow := cottonlanding.Workflow{
 				ID: "many", Queue: "Q",
 				Steps:    []cottonlanding.Step{{Tasks: one.tasks, Resources: cottonlanding.Resources{CPU: 1}}},
@@ -31,12 +23,7 @@
 			cell.Submit(workflow, 1000, func(error) {}) // it may be refused
 			for now := cottonlanding.Millis(1000); now < 3000; now += 1000 {
 				cell.Decide(now, 1_750_000_000_000)
-				if plan := cell.Plan(now); plan != nil {
-					for _, write := range plan.Writes {
-						require.LessOrEqual(t, len(write.Value), rowBytes, "the table refuses %s", write.Key)
-					}
-					cell.Committed(plan, 1)
-				}
+				commitFitting(t, cell, now)
 			}
 		})
 	}
--- a/internal/workflow/planner/spec_test.go
+++ b/internal/workflow/planner/spec_test.go
@@ -7,8 +7,6 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cottonlanding/cottonlanding"
-	"github.com/cottonlanding/cottonlanding/internal/policy/selector"
-	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
 // TestWorkflowThatFitsNoRowIsRefused: a client may put any text into a label, and all of a
@@ -16,18 +14,12 @@
 // owner, and the next one gets the same workflow as soon as its client asks again: one client
 // would stop a cell. So it is told at once that such a workflow can't run.
 func TestWorkflowThatFitsNoRowIsRefused(t *testing.T) {
-	cell := planner.New(planner.Setup{Partition: partition, Epoch: 1}, timing, selector.Default().Planner, quiet())
-	cell.SetQueues(cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{"Urgent": {Name: "Urgent", Service: "S"}}})
+	cell := cellOf("Urgent")
 	submit := func(id cottonlanding.WorkflowID, label string) error {
 		step := cottonlanding.Step{Tasks: 1, Resources: cottonlanding.Resources{CPU: 100}, Requires: cottonlanding.Label(label)}
 		outcome := cottonlanding.ErrAmbiguous
 		cell.Submit(cottonlanding.Workflow{ID: id, Queue: "Urgent", Steps: []cottonlanding.Step{step}}, 1000, func(err error) { outcome = err })
-		if plan := cell.Plan(1000); plan != nil {
-			for _, write := range plan.Writes {
-				require.LessOrEqual(t, len(write.Value), maxRow)
-			}
-			cell.Committed(plan, 1)
-		}
+		commitFitting(t, cell, 1000)
 		return outcome
 	}
 	require.ErrorIs(t, submit("long", strings.Repeat("x", maxRow)), cottonlanding.ErrCannotRun)
