--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"slices"
 	"sync"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -17,13 +16,6 @@
 // ErrDark reports a worker that gives no answer; it wraps ErrAmbiguous.
 var ErrDark = fmt.Errorf("the worker is dark: %w", cottonlanding.ErrAmbiguous)
 
-// startsAfterCrashes is how many more starts of a task are too many once crashesBefore
-// workers have crashed under it. Source: the rule on tasks that crash their workers.
-const (
-	crashesBefore      = 3
-	startsAfterCrashes = 3
-)
-
 // Runner holds the workers.
 type Runner struct {
 	clock cottonlanding.Clock
@@ -103,33 +95,6 @@
 	}
 }
 
-// TakeCrashed returns the lives that their runs have ended since it was last called.
-func (r *Runner) TakeCrashed() []cottonlanding.WorkerID {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, w := range r.workers {
-		r.advance(w)
-	}
-	out := r.crashed
-	r.crashed = nil
-	slices.Sort(out)
-	return out
-}
-
-// CrashesUnder counts the workers that a task has crashed.
-func (r *Runner) CrashesUnder(task cottonlanding.TaskRef) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.crashes[task]
-}
-
-// Crash ends a life with all its runs.
-func (r *Runner) Crash(id cottonlanding.WorkerID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.workers, id)
-}
-
 // Dark makes a worker silent while it runs on, or ends that.
 func (r *Runner) Dark(id cottonlanding.WorkerID, dark bool) {
 	r.mu.Lock()
@@ -215,20 +180,6 @@
 	return cottonlanding.Reading(r.clock.Now() + w.offset)
 }
 
-// crashIfDue ends a life that one of its runs has crashed by now.
-func (r *Runner) crashIfDue(w *worker) {
-	for key, run := range w.runs {
-		if !run.fate.Crashes || r.clock.Now() < run.ends() {
-			continue
-		}
-		delete(r.workers, w.id)
-		clear(w.runs)
-		r.crashed = append(r.crashed, w.id)
-		r.crashes[key.Task]++
-		return
-	}
-}
-
 // advance ends what has ended by now.
 func (r *Runner) advance(w *worker) {
 	r.crashIfDue(w)
@@ -339,18 +290,6 @@
 	}
 }
 
-// watchCrashes notes a start that comes too often after workers have crashed under its task.
-func (r *Runner) watchCrashes(key cottonlanding.RunKey) {
-	if r.crashes[key.Task] < crashesBefore {
-		return
-	}
-	r.after[key.Task]++
-	if r.after[key.Task] == startsAfterCrashes {
-		r.violations = append(r.violations, fmt.Sprintf("run %d of %s is start %d after %d workers had crashed under it",
-			key.Number, key.Task, startsAfterCrashes, crashesBefore))
-	}
-}
-
 // Stop implements cottonlanding.RunClient.
 func (r *Runner) Stop(_ context.Context, ref cottonlanding.WorkerRef, key cottonlanding.RunKey, epoch cottonlanding.Epoch) error {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/workflow/driver/refresh.go
@@ -0,0 +1,27 @@
+package driver
+
+import "github.com/cottonlanding/cottonlanding"
+
+// refresh takes in the newest configuration, evacuations and list of workers.
+func (d *Driver) refresh(now cottonlanding.Millis) {
+	d.cell.SetQueues(d.deps.Queues())
+	d.cell.SetEvacuations(d.deps.Evacuations(), now)
+	workers, known := d.deps.ListWorkers()
+	if !known || sameList(workers, d.listed) {
+		return
+	}
+	d.listed = workers
+	d.cell.SetWorkers(workers, now)
+	for _, w := range workers {
+		if d.attended[w.ID] == nil && d.cell.Attends(w.ID) {
+			wake := make(chan struct{}, 1)
+			d.attended[w.ID] = wake
+			d.work.Go(func() { d.attend(w.ID, wake) })
+		}
+	}
+}
+
+// sameList reports whether both are the same slice: a new list is a new slice.
+func sameList(a, b []cottonlanding.WorkerInfo) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
