--- a/internal/request/dispatcher/service.go
+++ b/internal/request/dispatcher/service.go
@@ -71,6 +71,17 @@
 	Late int64
 }
 
+func (c *Counts) note(outcome cottonlanding.Outcome) {
+	switch outcome {
+	case cottonlanding.Ran:
+		c.Ran++
+	case cottonlanding.NotRun:
+		c.NotRun++
+	default:
+		c.Unknown++
+	}
+}
+
 // ServiceState is a service's dump.
 type ServiceState struct {
 	Service cottonlanding.ServiceName
