--- a/internal/placement/scheduler/world_test.go
+++ b/internal/placement/scheduler/world_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -64,22 +63,6 @@
 	return s.Keeper.Put(ctx, name, data)
 }
 
-// host is a stand-in worker whose clock runs fast or slow.
-type host struct {
-	*worker.Worker
-	// perMille is how much faster the clock runs.
-	perMille cottonlanding.Millis
-}
-
-func (h host) local(now cottonlanding.Millis) cottonlanding.Millis {
-	return now + now*h.perMille/1000
-}
-
-// earliest returns the first instant at which the worker's clock shows local.
-func (h host) earliest(local cottonlanding.Millis) float64 {
-	return float64(local) * 1000 / float64(1000+h.perMille)
-}
-
 // contender is a daemon that believes that it owns the cell.
 type contender struct {
 	cell *scheduler.Cell
@@ -89,13 +72,6 @@
 	cut map[*host]bool
 }
 
-// late is a message that is still on its way.
-type late struct {
-	at    *host
-	order scheduler.Order
-	fence cottonlanding.Fence
-}
-
 // world is one cell with its workers, the table and all who believe to own it.
 type world struct {
 	now        cottonlanding.Millis
@@ -202,113 +178,6 @@
 	return nil
 }
 
-// fate decides what the network does with one message.
-type fate int
-
-const (
-	delivered fate = iota
-	lost
-	answerLost
-	delayed
-	fates
-)
-
-// visit makes the rounds of a contender; fateOf decides over each message.
-func (w *world) visit(c *contender, fateOf func() fate) {
-	if w.now >= c.until {
-		return
-	}
-	for _, round := range c.cell.Rounds(w.now) {
-		deliverable := fateOf
-		if c.cut[w.at(round.Address)] {
-			deliverable = func() fate { return lost }
-		}
-		c.cell.Report(w.round(round, deliverable), w.now)
-	}
-}
-
-// outlast cuts the present owner from a worker and goes on in small steps until
-// the owner gives up on the worker, while former owners still visit it.
-func (w *world) outlast(h *host, t *rapid.T) {
-	owner := w.owner()
-	owner.cut[h] = true
-	step := cottonlanding.Millis(rapid.IntRange(5, 400).Draw(t, "step"))
-	for end := w.now + leaseMS + graceMS + 2000; w.now < end; w.now += step {
-		for _, c := range w.contenders[max(0, len(w.contenders)-2):] {
-			c.cell.Decide(w.now)
-			w.commit(c)
-			w.visit(c, func() fate { return delivered })
-		}
-	}
-	owner.cut[h] = false
-}
-
-func (w *world) round(round scheduler.Round, fateOf func() fate) scheduler.Report {
-	report := scheduler.Report{Round: round, RenewSent: w.now, RenewArrived: w.now}
-	h := w.at(round.Address)
-	for _, order := range round.Orders {
-		err := w.send(h, order, fateOf())
-		report.Errors = append(report.Errors, err)
-		if errors.Is(err, cottonlanding.ErrAmbiguous) || errors.Is(err, cottonlanding.ErrUnavailable) {
-			report.Err = err
-			return report
-		}
-	}
-	switch fateOf() {
-	case delivered:
-		report.Inventory, report.Err = h.Renew(round.Fence)
-	case answerLost:
-		_, _ = h.Renew(round.Fence) // took effect, answer lost
-		report.Err = cottonlanding.ErrAmbiguous
-	case delayed:
-		w.late = append(w.late, late{at: h, fence: round.Fence})
-		report.Err = cottonlanding.ErrAmbiguous
-	default:
-		report.Err = cottonlanding.ErrUnavailable
-	}
-	return report
-}
-
-func (w *world) send(h *host, order scheduler.Order, fate fate) error {
-	switch fate {
-	case delivered:
-		return deliver(h, order)
-	case answerLost:
-		_ = deliver(h, order) // took effect, answer lost
-		return cottonlanding.ErrAmbiguous
-	case delayed:
-		w.late = append(w.late, late{at: h, order: order})
-		return cottonlanding.ErrAmbiguous
-	default:
-		return cottonlanding.ErrUnavailable
-	}
-}
-
-func deliver(h *host, order scheduler.Order) error {
-	ctx := context.Background()
-	switch order.Verb {
-	case scheduler.VerbStart:
-		return h.Start(ctx, order.Start)
-	case scheduler.VerbStop:
-		return h.Stop(order.Command)
-	case scheduler.VerbCheckpoint:
-		return h.Checkpoint(ctx, order.Command)
-	default:
-		return h.Acknowledge(order.Command)
-	}
-}
-
-// arrive delivers a late message.
-func (w *world) arrive(i int) {
-	message := w.late[i]
-	w.late = append(w.late[:i], w.late[i+1:]...)
-	if message.order.Verb == "" {
-		_, _ = message.at.Renew(message.fence) // nobody waits for the answer
-		return
-	}
-	_ = deliver(message.at, message.order) // nobody waits for the answer
-}
-
 func (w *world) submit(t *rapid.T, spec cottonlanding.JobSpec) {
 	w.jobs = append(w.jobs, spec.Name)
 	w.owner().cell.Submit(spec, w.now, func(err error) {
@@ -318,38 +187,6 @@
 	})
 }
 
-// span is a run in the time of the world.
-type span struct {
-	entry       worker.Entry
-	from, until float64
-}
-
-const endless = 1e18
-
-// check is the oracle: no task is in two places at once, attempts only grow.
-func (w *world) check(t require.TestingT) {
-	byTask := make(map[cottonlanding.TaskID][]span)
-	for _, h := range w.hosts {
-		require.Zero(t, h.Overfull(), "worker %s was given more than it can carry", h.Info().ID)
-		for _, entry := range h.Ledger() {
-			s := span{entry: entry, from: h.earliest(entry.From), until: endless}
-			if entry.Until >= 0 {
-				s.until = h.earliest(entry.Until)
-			}
-			byTask[entry.Task] = append(byTask[entry.Task], s)
-		}
-	}
-	for task, spans := range byTask {
-		for i, a := range spans {
-			for _, b := range spans[i+1:] {
-				apart := a.until <= b.from+1 || b.until <= a.from+1
-				require.True(t, apart, "%s is in two places at once: %+v and %+v", task, a, b)
-				require.NotEqual(t, a.entry.Attempt, b.entry.Attempt, "%s ran an attempt twice: %+v and %+v", task, a, b)
-			}
-		}
-	}
-}
-
 // heal ends all faults and runs until every accepted job is final.
 func (w *world) heal(t require.TestingT) {
 	w.store.down = false
@@ -384,32 +221,3 @@
 	}
 	return true
 }
-
-// checkEnds checks that every accepted job ended exactly once, with results that
-// were really produced.
-func (w *world) checkEnds(t require.TestingT) {
-	finished := make(map[cottonlanding.TaskID]map[cottonlanding.Attempt]bool)
-	for _, h := range w.hosts {
-		for _, entry := range h.Ledger() {
-			if entry.End == string(cottonlanding.Finished) {
-				if finished[entry.Task] == nil {
-					finished[entry.Task] = make(map[cottonlanding.Attempt]bool)
-				}
-				finished[entry.Task][entry.Attempt] = true
-			}
-		}
-	}
-	for name := range w.accepted {
-		status, found := w.owner().cell.Job(name)
-		require.True(t, found, "job %s was accepted and is lost", name)
-		for _, task := range status.Tasks {
-			require.True(t, task.State.Final(), "%s ended with task %+v", name, task)
-			if task.State == cottonlanding.TaskDone {
-				require.True(t, finished[task.ID][task.Attempt], "%s is done without a run: %+v", name, task)
-			}
-		}
-		if w.cancelled[name] {
-			require.Contains(t, []cottonlanding.JobState{cottonlanding.JobCancelled, cottonlanding.JobDone, cottonlanding.JobFailed}, status.Job.State)
-		}
-	}
-}
