Following the operators' table is told outside platform/, of any feed

A feed is what others write to one table: the root package says what a reading of it is, platform/ how the store tells it. When to go on and when to read anew is operators/reader, with a test that needs no store. No change of behaviour.

--- a/errors.go
+++ b/errors.go
@@ -33,4 +33,6 @@
 	ErrOtherLife = errors.New("another life answered")
 	// ErrNotOwner reports a call that reached a host that doesn't own the cell.
 	ErrNotOwner = errors.New("not the owner of the cell")
+	// ErrHistoryGone reports a feed that can't be continued from a version.
+	ErrHistoryGone = errors.New("the store has forgotten that history")
 )
--- /dev/null
+++ b/internal/duty/pauser/pauser_test.go
@@ -0,0 +1,28 @@
+package pauser_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
+)
+
+// TestPauseEndsWithItsSpanOrItsContext: a pause lasts for its span, or until the duty ends.
+func TestPauseEndsWithItsSpanOrItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+		defer cancel()
+		began := time.Now()
+		pauser.Pause(ctx, -cottonlanding.Second)
+		require.Zero(t, time.Since(began))
+		pauser.Pause(ctx, cottonlanding.Second)
+		require.Equal(t, time.Second, time.Since(began))
+		pauser.Pause(ctx, 10*cottonlanding.Second)
+		require.Equal(t, 3*time.Second, time.Since(began))
+	})
+}
--- /dev/null
+++ b/internal/operators/reader/reader_test.go
@@ -0,0 +1,79 @@
+package reader_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/operators/reader"
+)
+
+var timing = reader.Timing{Wait: 1500, Timeout: 2000, Pause: 200}
+
+// answer is what a call of the feed gives, after a span.
+type answer struct {
+	version cottonlanding.Version
+	err     error
+	after   time.Duration
+}
+
+// scripted is a feed that gives its answers one after the other, and none after the last.
+type scripted struct {
+	began   time.Time
+	answers []answer
+	asked   []cottonlanding.Version
+	at      []time.Duration
+}
+
+func (s *scripted) Read(ctx context.Context, version cottonlanding.Version, _ cottonlanding.Millis) (cottonlanding.FeedReading, error) {
+	if len(s.answers) == 0 {
+		<-ctx.Done()
+		return cottonlanding.FeedReading{}, ctx.Err()
+	}
+	s.asked, s.at = append(s.asked, version), append(s.at, time.Since(s.began))
+	next := s.answers[0]
+	s.answers = s.answers[1:]
+	select {
+	case <-time.After(next.after):
+		return cottonlanding.FeedReading{Version: next.version}, next.err
+	case <-ctx.Done():
+		return cottonlanding.FeedReading{}, ctx.Err()
+	}
+}
+
+// TestReaderGoesOnOrBeginsAnew: a reading goes on from the last one; after a lost history the
+// whole table is read at once, after a failed call or one without an answer following a pause.
+func TestReaderGoesOnOrBeginsAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		feed := &scripted{began: time.Now(), answers: []answer{
+			{version: 3},
+			{version: 5, after: time.Second},
+			{err: cottonlanding.ErrHistoryGone},
+			{version: 6},
+			{err: errors.New("down")},
+			{version: 7},
+			{after: time.Minute},
+			{version: 8},
+		}}
+		var first, second []cottonlanding.Version
+		ctx, cancel := context.WithCancel(t.Context())
+		reader.New(ctx, feed, timing, slog.New(slog.NewTextHandler(io.Discard, nil)),
+			func(news cottonlanding.FeedReading) { first = append(first, news.Version) },
+			func(news cottonlanding.FeedReading) { second = append(second, news.Version) })
+		time.Sleep(4 * time.Second)
+		cancel()
+		synctest.Wait()
+		require.Equal(t, []cottonlanding.Version{3, 5, 6, 7, 8}, first)
+		require.Equal(t, first, second, "each taker takes in each reading")
+		require.Equal(t, []cottonlanding.Version{0, 3, 5, 0, 6, 0, 7, 0}, feed.asked)
+		ms := time.Millisecond
+		require.Equal(t, []time.Duration{0, 0, 1000 * ms, 1000 * ms, 1000 * ms, 1200 * ms, 1200 * ms, 3400 * ms}, feed.at)
+	})
+}
