The list of workers is followed outside platform/, whatever an entry looks like

discovery/discoverer knows when to ask again, how long a missing entry is waited for and what a refused one means; platform/ keeps the entry's format and the spans that the store's ways ask for.

--- /dev/null
+++ b/internal/discovery/discoverer/discoverer.go
@@ -0,0 +1,204 @@
+// Package discoverer follows the list of workers that the platform keeps.
+package discoverer
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"log/slog"
+	"slices"
+	"sync"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
+)
+
+// Timing bounds the calls of a discoverer, and how long a worker is believed in.
+type Timing struct {
+	// Poll is the time between two reads of what changed.
+	Poll cottonlanding.Millis
+	// Timeout bounds one call.
+	Timeout cottonlanding.Millis
+	// Patience is how long an entry may be missing before its worker counts as gone.
+	Patience cottonlanding.Millis
+}
+
+// Parse reads the entry of a worker. An error says why the entry names none.
+type Parse func(id cottonlanding.WorkerID, entry []byte) (cottonlanding.WorkerInfo, error)
+
+// Discoverer follows the list of workers while it is asked to.
+type Discoverer struct {
+	feed   cottonlanding.Feed
+	parse  Parse
+	timing Timing
+	clock  cottonlanding.Clock
+	log    *slog.Logger
+
+	mu       sync.Mutex
+	stop     context.CancelFunc
+	known    bool
+	workers  map[cottonlanding.WorkerID]cottonlanding.WorkerInfo
+	vanished map[cottonlanding.WorkerID]cottonlanding.Millis
+	// refused holds why the entries were refused that stand and name no worker.
+	refused map[cottonlanding.WorkerID]string
+	list    []cottonlanding.WorkerInfo
+	// readAt is as of when the list is complete, zero before it was.
+	readAt cottonlanding.Millis
+}
+
+// New returns a discoverer that follows nothing yet.
+func New(feed cottonlanding.Feed, parse Parse, timing Timing, clock cottonlanding.Clock, log *slog.Logger) *Discoverer {
+	return &Discoverer{feed: feed, parse: parse, timing: timing, clock: clock, log: log}
+}
+
+// Follow starts or stops following the list.
+func (d *Discoverer) Follow(follow bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !follow && d.stop != nil {
+		d.stop()
+		d.stop, d.known, d.list, d.readAt = nil, false, nil, 0
+		return
+	}
+	if follow && d.stop == nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		d.stop = cancel
+		go d.run(ctx)
+	}
+}
+
+// Workers returns the list, and false before it was read. A changed list is a
+// new slice.
+func (d *Discoverer) Workers() ([]cottonlanding.WorkerInfo, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.list, d.known
+}
+
+// ReadAt returns as of when the list is complete.
+func (d *Discoverer) ReadAt() cottonlanding.Millis {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.readAt
+}
+
+func (d *Discoverer) run(ctx context.Context) {
+	version := cottonlanding.Version(0)
+	connected := true
+	for ctx.Err() == nil {
+		began := d.clock.Now()
+		next, more, err := d.step(ctx, version)
+		switch {
+		case errors.Is(err, cottonlanding.ErrHistoryGone):
+			d.log.Info("list of workers is read again", "After", version)
+			version = 0
+			continue
+		case err == nil:
+			version = next
+		}
+		if connected != (err == nil) && ctx.Err() == nil {
+			connected = err == nil
+			d.log.Info("list of workers", "Connected", connected, "Error", err)
+		}
+		if more {
+			continue
+		}
+		pauser.Pause(ctx, began+d.timing.Poll-d.clock.Now()) // a call without an answer was pause enough
+	}
+}
+
+// step reads the whole list if the version is zero, else what changed after it. It returns
+// the version from which to go on, and whether there may be more to read at once.
+func (d *Discoverer) step(ctx context.Context, version cottonlanding.Version) (next cottonlanding.Version, more bool, err error) {
+	callCtx, cancel := context.WithTimeout(ctx, d.timing.Timeout.Duration())
+	defer cancel()
+	news, err := d.feed.Read(callCtx, version, 0)
+	if err != nil {
+		return 0, false, err
+	}
+	d.take(ctx, news)
+	return news.Version, news.More, nil
+}
+
+// take merges a reading into the list.
+func (d *Discoverer) take(ctx context.Context, news cottonlanding.FeedReading) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ctx.Err() != nil {
+		return
+	}
+	now := d.clock.Now()
+	changed := !d.known
+	if !d.known {
+		d.workers = make(map[cottonlanding.WorkerID]cottonlanding.WorkerInfo)
+		d.vanished = make(map[cottonlanding.WorkerID]cottonlanding.Millis)
+		d.refused = make(map[cottonlanding.WorkerID]string)
+	}
+	if news.Whole {
+		for id := range d.workers {
+			d.noteVanished(id, now)
+		}
+	}
+	for _, row := range news.Rows {
+		id := cottonlanding.WorkerID(row.Key)
+		if row.Deleted {
+			delete(d.refused, id)
+			d.noteVanished(id, now)
+			continue
+		}
+		info, err := d.parse(id, row.Value)
+		if err != nil {
+			changed = d.refuse(id, err) || changed
+			continue
+		}
+		delete(d.refused, id)
+		delete(d.vanished, id)
+		if old, listed := d.workers[id]; !listed || !same(old, info) {
+			d.workers[id] = info
+			changed = true
+		}
+	}
+	for id, since := range d.vanished {
+		if now-since >= d.timing.Patience {
+			delete(d.vanished, id)
+			delete(d.workers, id)
+			changed = true
+		}
+	}
+	d.known, d.readAt = true, max(d.readAt, news.At)
+	if changed {
+		d.list = d.sorted()
+	}
+}
+
+// refuse takes a worker off the list whose entry can't be used, at once: unlike one that is
+// missing, it surely isn't what the worker has written. It reports whether the list changes.
+func (d *Discoverer) refuse(id cottonlanding.WorkerID, cause error) bool {
+	if why := cause.Error(); d.refused[id] != why {
+		d.refused[id] = why
+		d.log.Error("worker's description refused", "Worker", id, "Error", why, "Listed", d.workers[id].ID != "")
+	}
+	_, listed := d.workers[id]
+	delete(d.workers, id)
+	delete(d.vanished, id)
+	return listed
+}
+
+func (d *Discoverer) noteVanished(id cottonlanding.WorkerID, now cottonlanding.Millis) {
+	if _, noted := d.vanished[id]; !noted && d.workers[id].ID != "" {
+		d.vanished[id] = now
+	}
+}
+
+func (d *Discoverer) sorted() []cottonlanding.WorkerInfo {
+	out := make([]cottonlanding.WorkerInfo, 0, len(d.workers))
+	for _, info := range d.workers {
+		out = append(out, info)
+	}
+	slices.SortFunc(out, func(a, b cottonlanding.WorkerInfo) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func same(a, b cottonlanding.WorkerInfo) bool {
+	return a.Born == b.Born && a.Address == b.Address && a.State == b.State && a.Service == b.Service && a.Capacity == b.Capacity && slices.Equal(a.Labels, b.Labels)
+}
