--- /dev/null
+++ b/internal/operators/recorder/recorder.go
@@ -0,0 +1,96 @@
+// Package recorder holds which data centres the operators want evacuated.
+package recorder
+
+import (
+	"log/slog"
+	"maps"
+	"strings"
+	"sync"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// Recorder holds which data centres the operators want evacuated. The row alone orders an
+// evacuation, whatever its value, and its removal takes it back. A reading that is older than
+// what is known of a data centre changes nothing.
+type Recorder struct {
+	prefix string
+	clock  cottonlanding.Clock
+	log    *slog.Logger
+
+	mu      sync.Mutex
+	current cottonlanding.Evacuations
+	// versions holds as of which version it is known whether a data centre is evacuated.
+	versions map[cottonlanding.DataCentre]cottonlanding.Version
+}
+
+// New returns a recorder of no reading yet. The prefix begins the keys of evacuations; the data
+// centre follows.
+func New(prefix string, clock cottonlanding.Clock, log *slog.Logger) *Recorder {
+	return &Recorder{
+		prefix:   prefix,
+		clock:    clock,
+		log:      log,
+		versions: make(map[cottonlanding.DataCentre]cottonlanding.Version),
+	}
+}
+
+// Current returns the newest state.
+func (r *Recorder) Current() cottonlanding.Evacuations {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.current
+}
+
+// Take takes in a reading of the operators' table.
+func (r *Recorder) Take(news cottonlanding.FeedReading) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ordered := maps.Clone(r.current.Ordered)
+	if ordered == nil {
+		ordered = make(map[cottonlanding.DataCentre]cottonlanding.Evacuation)
+	}
+	named := make(map[cottonlanding.DataCentre]bool)
+	for _, row := range news.Rows {
+		name, found := strings.CutPrefix(row.Key, r.prefix)
+		if !found {
+			continue
+		}
+		if name == "" {
+			r.log.Error("evacuation refused", "Key", row.Key, "Error", "it names no data centre")
+			continue
+		}
+		dataCentre := cottonlanding.DataCentre(name)
+		named[dataCentre] = true
+		r.note(ordered, dataCentre, row.Version, !row.Deleted)
+	}
+	if news.Whole {
+		for dataCentre := range r.current.Ordered {
+			if !named[dataCentre] {
+				r.note(ordered, dataCentre, news.Version, false)
+			}
+		}
+	}
+	r.current = cottonlanding.Evacuations{ReadAt: max(r.current.ReadAt, news.At), Ordered: ordered}
+}
+
+// note takes in whether a data centre is evacuated as of a version.
+func (r *Recorder) note(ordered map[cottonlanding.DataCentre]cottonlanding.Evacuation, dataCentre cottonlanding.DataCentre, version cottonlanding.Version, evacuated bool) {
+	if version < r.versions[dataCentre] {
+		return
+	}
+	r.versions[dataCentre] = version
+	known, before := ordered[dataCentre]
+	if !evacuated {
+		delete(ordered, dataCentre)
+		if before {
+			r.log.Info("evacuation over", "DataCentre", dataCentre, "Version", version, "KnownFor", r.clock.Now()-known.KnownAt)
+		}
+		return
+	}
+	if before && known.Version == version {
+		return
+	}
+	ordered[dataCentre] = cottonlanding.Evacuation{DataCentre: dataCentre, Version: version, KnownAt: r.clock.Now()}
+	r.log.Info("evacuation known", "DataCentre", dataCentre, "Version", version)
+}
