--- a/internal/platform/connector/connector.go
+++ b/internal/platform/connector/connector.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -65,14 +64,14 @@
 func (c *Connector) Read(ctx context.Context, keys ...cottonlanding.Key) ([]cottonlanding.Row, error) {
 	var answer RowsAnswer
 	err := c.call(ctx, http.MethodPost, ReadPath, ReadRequest{Keys: keys}, &answer)
-	return answer.Rows, readOnly(err)
+	return answer.Rows, caller.ReadOnly(err)
 }
 
 // Scan implements cottonlanding.Table.
 func (c *Connector) Scan(ctx context.Context, prefix, after cottonlanding.Key, limit int) ([]cottonlanding.Row, error) {
 	var answer RowsAnswer
 	err := c.call(ctx, http.MethodPost, ScanPath, ScanRequest{Prefix: prefix, After: after, Limit: limit}, &answer)
-	return answer.Rows, readOnly(err)
+	return answer.Rows, caller.ReadOnly(err)
 }
 
 // Hosts implements cottonlanding.HostList.
@@ -80,7 +79,7 @@
 	var hosts cottonlanding.Hosts
 	path := HostsPath + "?DataCentre=" + url.QueryEscape(string(dataCentre))
 	err := c.call(ctx, http.MethodGet, path, nil, &hosts)
-	return hosts, readOnly(err)
+	return hosts, caller.ReadOnly(err)
 }
 
 // Put implements cottonlanding.ObjectStore.
@@ -92,7 +91,7 @@
 // Get implements cottonlanding.ObjectStore.
 func (c *Connector) Get(ctx context.Context, name cottonlanding.ObjectName) ([]byte, error) {
 	data, err := c.send(ctx, http.MethodGet, objectPath(name), nil)
-	return data, readOnly(err)
+	return data, caller.ReadOnly(err)
 }
 
 // Delete implements cottonlanding.ObjectStore.
@@ -105,14 +104,6 @@
 	return ObjectsPath + url.PathEscape(string(name))
 }
 
-// readOnly turns a lost answer into a failure without effect.
-func readOnly(err error) error {
-	if errors.Is(err, cottonlanding.ErrAmbiguous) {
-		return fmt.Errorf("%w: %v", cottonlanding.ErrUnavailable, err)
-	}
-	return err
-}
-
 func (c *Connector) call(ctx context.Context, method, path string, in, out any) error {
 	var body []byte
 	if in != nil {
--- a/internal/web/caller/caller.go
+++ b/internal/web/caller/caller.go
@@ -273,3 +273,11 @@
 		}
 	}
 }
+
+// ReadOnly turns the unknown outcome of a call that only reads into a failure without effect.
+func ReadOnly(err error) error {
+	if errors.Is(err, cottonlanding.ErrAmbiguous) {
+		return fmt.Errorf("%w: %s", cottonlanding.ErrUnavailable, err.Error())
+	}
+	return err
+}
--- a/internal/web/caller/caller_test.go
+++ b/internal/web/caller/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -155,3 +156,13 @@
 	}
 	calls.Wait()
 }
+
+// TestCallThatOnlyReadsHasNoEffect: an answer that was lost is a failure like any other.
+func TestCallThatOnlyReadsHasNoEffect(t *testing.T) {
+	lost := fmt.Errorf("%w: no answer", cottonlanding.ErrAmbiguous)
+	require.ErrorIs(t, caller.ReadOnly(lost), cottonlanding.ErrUnavailable)
+	require.NotErrorIs(t, caller.ReadOnly(lost), cottonlanding.ErrAmbiguous)
+	require.ErrorContains(t, caller.ReadOnly(lost), lost.Error())
+	require.Equal(t, cottonlanding.ErrConflict, caller.ReadOnly(cottonlanding.ErrConflict))
+	require.NoError(t, caller.ReadOnly(nil))
+}
