--- a/table.go
+++ b/table.go
@@ -21,6 +21,14 @@
 	return Partition(partition)
 }
 
+// Name returns the key within its partition.
+func (k Key) Name() string {
+	if _, name, found := strings.Cut(string(k), ":"); found {
+		return name
+	}
+	return string(k)
+}
+
 // Key returns the key of a row of the partition.
 func (p Partition) Key(name string) Key { return Key(string(p) + ":" + name) }
 
