--- a/feed.go
+++ b/feed.go
@@ -6,7 +6,8 @@
 type FeedRow struct {
 	Key   string
 	Value []byte
-	// Version is that of the row; of one that was removed, the newest as of which that is known.
+	// Version is the row's. Of one that was removed it may be the reading's: it was removed by
+	// then.
 	Version Version
 	// Deleted says that the row was removed.
 	Deleted bool
--- a/internal/discovery/discoverer/discoverer_test.go
+++ b/internal/discovery/discoverer/discoverer_test.go
@@ -41,14 +41,20 @@
 	mu   sync.Mutex
 	next cottonlanding.FeedReading
 	err  error
+	// asked holds the versions from which was read.
+	asked []cottonlanding.Version
 }
 
-func (f *table) Read(context.Context, cottonlanding.Version, cottonlanding.Millis) (cottonlanding.FeedReading, error) {
+func (f *table) Read(_ context.Context, version cottonlanding.Version, _ cottonlanding.Millis) (cottonlanding.FeedReading, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.asked = append(f.asked, version)
 	news, err := f.next, f.err
 	news.At = f.clock.Now()
 	f.next = cottonlanding.FeedReading{Version: news.Version}
+	if errors.Is(err, cottonlanding.ErrHistoryGone) {
+		f.err = nil // the whole table can be read
+	}
 	return news, err
 }
 
@@ -60,6 +66,22 @@
 	f.err = err
 }
 
+// sayMore makes the next call tell that there may be more.
+func (f *table) sayMore() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next = cottonlanding.FeedReading{More: true, Version: f.next.Version + 1}
+}
+
+// calls returns the versions from which was read since it was asked last.
+func (f *table) calls() []cottonlanding.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	asked := f.asked
+	f.asked = nil
+	return asked
+}
+
 // journal takes in log lines.
 type journal struct {
 	mu   sync.Mutex
@@ -187,3 +209,21 @@
 		require.Equal(t, 1, b.lines.count("Connected=true"))
 	})
 }
+
+// TestListIsReadAtOnceIfThereIsMore: a poll passes between two readings, unless the first may not
+// have told all or its history is lost.
+func TestListIsReadAtOnceIfThereIsMore(t *testing.T) {
+	follow(t, func(t *testing.T, b *bench) {
+		require.Equal(t, []cottonlanding.Version{0}, b.table.calls())
+		b.passes(timing.Poll - 1)
+		require.Empty(t, b.table.calls())
+		b.passes(1)
+		require.Equal(t, []cottonlanding.Version{1}, b.table.calls())
+		b.table.sayMore()
+		b.passes(timing.Poll)
+		require.Equal(t, []cottonlanding.Version{1, 2}, b.table.calls())
+		b.table.say(nil, false, cottonlanding.ErrHistoryGone)
+		b.passes(timing.Poll)
+		require.Equal(t, []cottonlanding.Version{2, 0}, b.table.calls())
+	})
+}
