A schedule of any length has a state row that the table takes

What callers saw: a client that handed in a schedule of many rounds, such as 30 of 1,000 tasks or 30,000 of one, was accepted, and its cell stopped: the table refused the workflow's state row of 90,044 bytes, the owner lost the cell, and so did each one after it.

Cause: a row held the tasks of all rounds that were due, those that are finished too, and nothing bounded their number.

Ruled out: to refuse such schedules when they are handed in, since those that were accepted before would still stop their cell; a row in several pieces, which changes what every reader does.

Change: a job counts the most bytes that its row can take, with the largest run number and as many failures and losses as a task can have, so that what happens to a task without a decision never makes the row longer than was counted. Another round begins only if the row has room for it with all tasks placed on workers with ids of usual length; else it waits for earlier ones. If need be the first rounds that are finished are left out of the row, which then has their number beside that of all rounds. A task that is done takes six bytes. Attempts of a task count up to 999, a reason has 256 bytes. On taking over, rounds of which nothing has begun are taken back until the row has room, and begin again when it has.

Rows of older code are read as before. Older code reads all new rows but those that leave rounds out, which only rows do that might not fit with them, and it refuses these: it would take the tasks of later rounds for those of the first ones. An older host that comes to own a cell with such a row loads nothing and tries again until another host owns the cell, and its answers about that workflow from the table are errors.

Why it holds: the count is a sum over tasks of a constant for each state, changed where a task is done, a round is added or left out, and it is the same for the next owner.

--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -19,6 +19,10 @@
 	// sequence orders jobs by acceptance.
 	sequence int64
 	rounds   map[int]*round
+	// size bounds the length of the job's state row, which may leave out the tasks of the first
+	// leftOut rounds: they are finished.
+	size    rowSize
+	leftOut int
 	// outlook is what is left to be done, nil when it must be worked out anew.
 	outlook *outlook
 	// lasts says that a step of the job is lasting, missed that a task of such a step
@@ -122,6 +126,7 @@
 		r.steps = append(r.steps, s)
 	}
 	j.rounds[number] = r
+	j.size.undone += tasksPerRound(j.Workflow)
 	j.outlook = nil
 	r.unlock(now)
 	return r
@@ -163,8 +168,11 @@
 }
 
 // eachTask calls visit for every task in order.
-func (j *job) eachTask(visit func(*task)) {
-	for number := range len(j.rounds) {
+func (j *job) eachTask(visit func(*task)) { j.eachTaskFrom(0, visit) }
+
+// eachTaskFrom is eachTask for those of a round and of all later ones.
+func (j *job) eachTaskFrom(first int, visit func(*task)) {
+	for number := first; number < len(j.rounds); number++ {
 		for _, s := range j.rounds[number].steps {
 			for _, t := range s.tasks {
 				visit(t)
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -54,7 +54,7 @@
 		queue = current
 	}
 	j := newJob(spec.Workflow, queue, now)
-	for number := len(j.rounds); number < state.Rounds; number++ {
+	for number := len(j.rounds); number < state.Rounds.Begun; number++ {
 		j.addRound(number, now)
 	}
 	j.state, j.reason, j.begun = state.State, state.Reason, state.Begun
@@ -63,8 +63,9 @@
 	if j.state.Final() {
 		j.ended = now
 	}
+	j.loadLeftOut(state.Rounds.LeftOut)
 	at := 0
-	j.eachTask(func(t *task) {
+	j.eachTaskFrom(j.leftOut, func(t *task) {
 		if at < len(state.Tasks) {
 			c.loadTask(t, state.Tasks[at], now)
 		}
@@ -73,10 +74,27 @@
 	for _, r := range j.rounds {
 		r.unlock(now)
 	}
+	if !j.state.Final() {
+		j.shrinkRounds()
+	}
 	c.addJob(j)
 	return nil
 }
 
+// loadLeftOut takes in that the first rounds are finished, of which the row has no tasks.
+func (j *job) loadLeftOut(rounds int) {
+	for number := range min(rounds, len(j.rounds)) {
+		for _, s := range j.rounds[number].steps {
+			s.done = len(s.tasks)
+			for _, t := range s.tasks {
+				t.state = taskDone
+				j.size.noteDone()
+			}
+		}
+	}
+	j.leaveOutFinished()
+}
+
 func (c *Cell) loadTask(t *task, row taskRow, now cottonlanding.Millis) {
 	t.state, t.number, t.failures, t.life = row.State, row.Number, row.Failures, row.Life
 	t.loadCheckpoint(row, now)
@@ -84,6 +102,7 @@
 	switch t.state {
 	case taskDone:
 		t.stage.done++
+		t.job.size.noteDone()
 	case taskAssigned:
 		w := c.workers[t.life.Worker]
 		if w == nil {
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -36,12 +36,13 @@
 	c.logSummary(now)
 }
 
-// beginRounds makes the rounds of schedules whose time has come.
+// beginRounds makes the rounds of schedules whose time has come. One for which the row has no
+// room waits until earlier ones are finished.
 func (c *Cell) beginRounds(now cottonlanding.Millis, wall int64) {
 	for _, j := range c.order {
 		for next := len(j.rounds); next < j.Schedule.Rounds; next++ {
 			due := j.Schedule.First + int64(next)*int64(j.Schedule.Interval)
-			if wall < due {
+			if wall < due || !j.hasRoomForRound() {
 				break
 			}
 			j.addRound(next, now)
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -42,13 +42,14 @@
 	Queue    cottonlanding.Queue
 }
 
-// stateRow is the state of a workflow with its tasks, in order of round, step, index.
+// stateRow is the state of a workflow with its tasks, in order of round, step, index. Of rounds
+// that are left out it has none: they are done.
 type stateRow struct {
 	State  cottonlanding.WorkflowState
-	Reason string    `json:",omitempty"`
-	Begun  bool      `json:",omitempty"`
-	Rounds int       `json:",omitempty"`
-	Tasks  []taskRow `json:",omitempty"`
+	Reason string     `json:",omitempty"`
+	Begun  bool       `json:",omitempty"`
+	Rounds roundCount `json:",omitzero"`
+	Tasks  []taskRow  `json:",omitempty"`
 }
 
 // taskRow is written as a list of its fields without the zeros at its end: a row has
@@ -194,11 +195,16 @@
 // row returns the job's state for its row. Of a job that has succeeded no tasks are kept; those
 // of one that failed or was cancelled may still run.
 func (j *job) row() stateRow {
-	row := stateRow{State: j.state, Reason: j.reason, Begun: j.begun, Rounds: len(j.rounds)}
+	row := stateRow{State: j.state, Reason: shortened(j.reason), Begun: j.begun, Rounds: roundCount{Begun: len(j.rounds)}}
 	if j.state == cottonlanding.WorkflowSucceeded {
 		return row
 	}
-	j.eachTask(func(t *task) {
+	row.Rounds.LeftOut = j.firstInRow()
+	j.eachTaskFrom(row.Rounds.LeftOut, func(t *task) {
+		if t.state == taskDone {
+			row.Tasks = append(row.Tasks, taskRow{State: taskDone}) // nobody asks how
+			return
+		}
 		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.life, t.failures, t.checkpoint.text, t.crashes.Losses, t.crashes.Crashes, t.rowResumeFrom(), t.startsRun()})
 	})
 	return row
--- a/internal/workflow/planner/rounds_test.go
+++ b/internal/workflow/planner/rounds_test.go
@@ -7,9 +7,9 @@
 	"github.com/cottonlanding/cottonlanding"
 )
 
-// A workflow's row holds the tasks of all its rounds, those that are over too, and only the tasks of
-// one round are bounded when it's handed in. So one client's schedule makes a row that the table refuses,
-// and with it the owner loses its cell, as does each one after it. Rounds whose first time lies
+// A workflow's row held the tasks of all its rounds, those that are over too, and only the tasks of
+// one round are bounded when it's handed in. So one client's schedule made a row that the table refused,
+// and with it the owner lost its cell, as did each one after it. Rounds whose first time lies
 // far back are due all at once.
 func TestRowsOfManyRoundsFit(t *testing.T) {
 	for _, one := range []struct{ tasks, rounds int }{{1, 30_000}, {1000, 30}} {
--- /dev/null
+++ b/internal/workflow/planner/rowsize.go
@@ -0,0 +1,164 @@
+package planner
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// The table refuses a state row that is too long, and with it the owner loses its cell. So a
+// job counts the most bytes that its row can take without texts, which encodeFitting leaves out
+// one by one. Whatever happens to a task without a decision of its owner, such as failures and
+// losses, is counted in advance; what the owner decides, such as to begin a round, waits until
+// there is room.
+
+const (
+	// headBytes is more than a state row takes beside its tasks.
+	headBytes = 2000
+	// maxReason is the longest reason in a row, in bytes, each of which takes six at most.
+	maxReason = 256
+	// doneBytes is what a task takes that is done.
+	doneBytes = len(`["D"],`)
+	// waitingBytes is the most that any other takes but for the life of its worker: with the
+	// largest run number, mostFailures, and as many losses as a task can have that isn't given up.
+	waitingBytes = len(`["",4294967295,"",999,"",5,5],`)
+	// mostFailures bounds the attempts of a task, so that they have three digits.
+	mostFailures = 999
+	// usualBytes is what is kept for each task of a round that isn't done, so that it can be
+	// placed on a worker with an id of usual length.
+	usualBytes = 60
+	// mostForRounds is up to where rounds are begun, in bytes. It leaves room for the longest
+	// life of a worker, so that something can always run. A round of as many tasks as a
+	// workflow may have takes less.
+	mostForRounds = maxRow - 2000
+)
+
+// rowSize bounds the length of a state row.
+type rowSize struct {
+	// undone and done count the tasks in the row.
+	undone, done int
+}
+
+// bytes returns the most that the row takes.
+func (s rowSize) bytes() int {
+	return headBytes + s.undone*waitingBytes + s.done*doneBytes
+}
+
+// usualBytes returns what the row takes if all tasks that aren't done run on workers with ids of
+// usual length.
+func (s rowSize) usualBytes() int {
+	return headBytes + s.undone*usualBytes + s.done*doneBytes
+}
+
+// fitsRounds reports whether the row may have all its rounds.
+func (s rowSize) fitsRounds() bool { return max(s.bytes(), s.usualBytes()) <= mostForRounds }
+
+// noteDone counts a task that is done from now on.
+func (s *rowSize) noteDone() {
+	s.undone--
+	s.done++
+}
+
+// tasksPerRound counts the tasks of one round.
+func tasksPerRound(workflow cottonlanding.Workflow) int {
+	count := 0
+	for _, step := range workflow.Steps {
+		count += step.Tasks
+	}
+	return count
+}
+
+// hasRoomForRound reports whether another round can begin. If need be, the first rounds
+// that are finished are left out of the row.
+func (j *job) hasRoomForRound() bool {
+	if j.sizeWithRound().fitsRounds() {
+		return true
+	}
+	j.leaveOutFinished()
+	return j.sizeWithRound().fitsRounds()
+}
+
+// sizeWithRound returns the size of the row with another round.
+func (j *job) sizeWithRound() rowSize {
+	size := j.size
+	size.undone += tasksPerRound(j.Workflow)
+	return size
+}
+
+// leaveOutFinished has the row leave out the first rounds that are finished.
+func (j *job) leaveOutFinished() {
+	for j.leftOut < len(j.rounds) && j.rounds[j.leftOut].finished() {
+		j.leftOut++
+		j.size.done -= tasksPerRound(j.Workflow)
+	}
+}
+
+// firstInRow returns the first round of which the row has the tasks: as long as there is room it
+// has those of all, so that older code can read it.
+func (j *job) firstInRow() int {
+	all := j.size
+	all.done += j.leftOut * tasksPerRound(j.Workflow)
+	if all.bytes() <= maxRow {
+		return 0
+	}
+	return j.leftOut
+}
+
+// shrinkRounds takes back the last rounds of which nothing has begun until the row holds all
+// rounds: owners of older code have begun them without regard to that. They begin again
+// when there is room.
+func (j *job) shrinkRounds() {
+	if j.size.fitsRounds() {
+		return
+	}
+	j.leaveOutFinished()
+	for last := len(j.rounds) - 1; last > j.leftOut && !j.size.fitsRounds() && j.rounds[last].untouched(); last-- {
+		delete(j.rounds, last)
+		j.size.undone -= tasksPerRound(j.Workflow)
+	}
+}
+
+// untouched reports whether no task of the round was ever placed.
+func (r *round) untouched() bool {
+	for _, s := range r.steps {
+		for _, t := range s.tasks {
+			if t.state != taskWaiting || t.number > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// shortened returns a reason that a row can hold.
+func shortened(reason string) string {
+	if len(reason) <= maxReason {
+		return reason
+	}
+	return strings.ToValidUTF8(reason[:maxReason], "")
+}
+
+// roundCount counts the rounds of a state row. It is written as a number, or as a list with
+// the number of the first rounds that are finished and whose tasks the row leaves out. Code that
+// doesn't know of that refuses the list: it would take the tasks for those of earlier rounds.
+type roundCount struct {
+	Begun   int
+	LeftOut int
+}
+
+// MarshalJSON writes the count.
+func (r roundCount) MarshalJSON() ([]byte, error) {
+	if r.LeftOut == 0 {
+		return json.Marshal(r.Begun)
+	}
+	return json.Marshal([]int{r.Begun, r.LeftOut})
+}
+
+// UnmarshalJSON reads what MarshalJSON wrote, or a number as older code has written it.
+func (r *roundCount) UnmarshalJSON(data []byte) error {
+	if len(data) > 0 && data[0] == '[' {
+		return json.Unmarshal(data, &[]any{&r.Begun, &r.LeftOut})
+	}
+	return json.Unmarshal(data, &r.Begun)
+}
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -90,6 +90,7 @@
 			member.state = taskDone
 			member.life, member.checkpoint = cottonlanding.Life{}, knownCheckpoint{}
 			t.stage.done++
+			t.job.size.noteDone()
 		}
 	}
 	j := t.job
@@ -119,7 +120,7 @@
 			member.failures = max(member.failures, t.failures)
 		}
 	}
-	if t.failures >= max(1, t.job.queue.Attempts) {
+	if t.failures >= min(max(1, t.job.queue.Attempts), mostFailures) {
 		c.counts.Failed++
 		c.end(t.job, cottonlanding.WorkflowFailed, "task "+t.ref.String()+" failed too often, last on "+string(w.info.ID), now)
 		return
--- a/workflow.go
+++ b/workflow.go
@@ -87,8 +87,8 @@
 const (
 	// MaxPayload is the longest payload, in bytes.
 	MaxPayload = 4000
-	// maxSteps and maxTasks bound one round. The state of one fits a row of the table, where ids of
-	// workers have a dozen bytes; that of many rounds may not.
+	// maxSteps and maxTasks bound one round, so that its state fits a row of the table where ids of
+	// workers have two dozen bytes.
 	maxSteps = 64
 	maxTasks = 1000
 )
