Ids of workers of any length leave the state row as long as the table takes

What callers saw: 1,000 tasks on workers with ids of 60 bytes were accepted, and their cell stopped once they were placed: the table refused the state row of 80,053 bytes, and the owner lost the cell.

Cause: a row has the id of the worker of each task that is placed, and nothing bounded what they take together.

Ruled out: ids listed once for each row, which bounds nothing where all workers differ, and which older code would read as other ids.

Change: what the lives of workers take is counted in the size of the row, with six bytes for each that may be escaped. A task isn't placed while the row has no room for the life of its worker, nor a gang for those of all members, and nothing gives way for it; the log tells. Finished rounds are left out first. A job whose lasting tasks and largest gang never have room at once, on the workers that the cell knows, is refused when it is handed in. One that a cell whose workers have ids of up to 200 bytes might refuse isn't handed over, so that what was accepted is kept: that takes some 250 lasting tasks or as large a gang.

Rows have no new form by this; older code reads them.

The largest workflow has all its 1,000 tasks placed at once with ids of 22 bytes. Random histories with failures, crashes, gangs, rounds and changes of owner hold each row against what was counted for it.

Why it holds: only a placement or another round makes the count larger, and both are checked first; the count is the same for the next owner.

--- a/internal/workflow/planner/export_test.go
+++ b/internal/workflow/planner/export_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 
@@ -50,3 +51,18 @@
 		c.touch(j)
 	}
 }
+
+// RowBytes returns how many bytes the row of a workflow takes without texts, and what is counted for it.
+func (c *Cell) RowBytes(id cottonlanding.WorkflowID) (bytes, counted int) {
+	j := c.jobs[id]
+	if j == nil {
+		return 0, 0
+	}
+	row := j.row()
+	row.leaveOut(math.MaxInt)
+	all := j.size
+	if row.Rounds.LeftOut == 0 {
+		all.done += j.leftOut * tasksPerRound(j.Workflow)
+	}
+	return len(encode(row)), all.bytes()
+}
--- a/internal/workflow/planner/gang.go
+++ b/internal/workflow/planner/gang.go
@@ -53,6 +53,10 @@
 		w.addRun(&run{RunKey: key, worker: w, step: s.Step, paceGoal: fullPace})
 		chosen = append(chosen, w)
 	}
+	if !s.tasks[0].job.hasRoomForLives(livesBytes(chosen)) {
+		c.tellRowFull(s.tasks[0], now)
+		return false
+	}
 	for i, t := range s.tasks {
 		chosen[i].removeRun(cottonlanding.RunKey{Task: t.ref})
 		c.assign(t, chosen[i], number, now)
@@ -74,3 +78,12 @@
 	}
 	return c.ask(t, candidates, now)
 }
+
+// livesBytes returns the most that a gang takes more in a row while it's placed on workers.
+func livesBytes(chosen []*worker) int {
+	sum := 0
+	for _, w := range chosen {
+		sum += lifeBytes(w.life())
+	}
+	return sum
+}
--- a/internal/workflow/planner/handover.go
+++ b/internal/workflow/planner/handover.go
@@ -32,7 +32,10 @@
 		return false // other cells take no workflow of a queue that was removed
 	}
 	waits := now-j.accepted >= moveAfter && !j.begun && !j.state.Final() && j.Schedule.Rounds == 0
-	return waits && j.committed && c.dirty[j.ID] == nil && (c.inFlight == nil || !c.inFlight.includes(j.ID))
+	if !waits || !stateFits(j.Workflow, widestLife) {
+		return false // a cell whose workers have longer ids might refuse it
+	}
+	return j.committed && c.dirty[j.ID] == nil && (c.inFlight == nil || !c.inFlight.includes(j.ID))
 }
 
 // HandOver has another cell keep a workflow that Leavers has returned just now.
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -217,6 +217,10 @@
 		done(err)
 		return
 	}
+	if err := c.checkState(workflow, queue); err != nil {
+		done(err)
+		return
+	}
 	j := newJob(workflow, queue, now)
 	j.spec = spec
 	c.addJob(j)
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -96,7 +96,8 @@
 }
 
 func (c *Cell) loadTask(t *task, row taskRow, now cottonlanding.Millis) {
-	t.state, t.number, t.failures, t.life = row.State, row.Number, row.Failures, row.Life
+	t.state, t.number, t.failures = row.State, row.Number, row.Failures
+	t.setLife(row.Life)
 	t.loadCheckpoint(row, now)
 	t.crashes = cottonlanding.CrashRecord{Losses: row.Losses, Crashes: row.Crashes}
 	switch t.state {
--- a/internal/workflow/planner/longids_test.go
+++ b/internal/workflow/planner/longids_test.go
@@ -8,8 +8,8 @@
 )
 
 // A row holds the id of the worker of each task that is placed. Ids are keys of the platform's, of up to 200 bytes;
-// with such of 60 the row of a large workflow, all of whose tasks run, is longer than the table takes. It was
-// accepted when it was short, and the owner loses its cell with the commit of its placements.
+// with such of 60 the row of a large workflow, all of whose tasks run, was longer than the table takes. It was
+// accepted when it was short, and the owner lost its cell with the commit of its placements.
 func TestRowsWithLongWorkerIDsFit(t *testing.T) {
 	const tasks, idLength = 1000, 60
 	worker := cottonlanding.WorkerInfo{
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -103,6 +103,10 @@
 			c.noRoom(t, now)
 			return placed // the others of the step need the same
 		}
+		if !t.job.hasRoomForLives(lifeBytes(w.life())) {
+			c.tellRowFull(t, now)
+			return placed
+		}
 		c.assign(t, w, t.number+1, now)
 		placed++
 	}
@@ -140,6 +144,10 @@
 		return
 	}
 	t.stage.noRoomAt = now + noRoomPause
+	if !t.job.hasRoomForLives(widestLife) {
+		c.tellRowFull(t, now)
+		return // nothing is to give way for a task that may not be placed
+	}
 	c.makeRoom(t, now)
 	c.keepRoom(t, now)
 	c.tellWaiting(t, now)
@@ -147,7 +155,8 @@
 
 // assign plans a run; it is sent once the plan is committed.
 func (c *Cell) assign(t *task, w *worker, number cottonlanding.RunNumber, now cottonlanding.Millis) {
-	t.state, t.number, t.life = taskAssigned, number, w.life()
+	t.state, t.number = taskAssigned, number
+	t.setLife(w.life())
 	t.roomUntil = 0
 	t.fixCheckpoint()
 	key := cottonlanding.RunKey{Task: t.ref, Number: number}
--- a/internal/workflow/planner/rowsize.go
+++ b/internal/workflow/planner/rowsize.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"strings"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -38,11 +39,13 @@
 type rowSize struct {
 	// undone and done count the tasks in the row.
 	undone, done int
+	// lives is what the lives of the workers take on which tasks are placed, in bytes.
+	lives int
 }
 
 // bytes returns the most that the row takes.
 func (s rowSize) bytes() int {
-	return headBytes + s.undone*waitingBytes + s.done*doneBytes
+	return headBytes + s.undone*waitingBytes + s.done*doneBytes + s.lives
 }
 
 // usualBytes returns what the row takes if all tasks that aren't done run on workers with ids of
@@ -60,6 +63,100 @@
 	s.done++
 }
 
+// lifeBytes returns the most that a task takes more in a row while it's placed on a life of a
+// worker.
+func lifeBytes(life cottonlanding.Life) int {
+	if life == (cottonlanding.Life{}) {
+		return 0
+	}
+	return len(taskAssigned) + encodedBytes(life.String())
+}
+
+// mostPerByte is what a byte of a text takes at most that is written as an escape.
+const mostPerByte = len(`\u0000`)
+
+// encodedBytes returns the most that a text takes in a row, without its quotes.
+func encodedBytes(text string) int {
+	count := 0
+	for at := range len(text) {
+		if text[at] < ' ' || text[at] > '~' || strings.IndexByte(`"\<>&`, text[at]) >= 0 {
+			count += mostPerByte
+			continue
+		}
+		count++
+	}
+	return count
+}
+
+// setLife notes on which life the task is placed; the zero value is none.
+func (t *task) setLife(life cottonlanding.Life) {
+	t.job.size.lives += lifeBytes(life) - lifeBytes(t.life)
+	t.life = life
+}
+
+// hasRoomForLives reports whether the row takes lives of so many bytes more. If need be, the first
+// rounds that are finished are left out of it.
+func (j *job) hasRoomForLives(bytes int) bool {
+	if j.size.bytes()+bytes <= maxRow {
+		return true
+	}
+	j.leaveOutFinished()
+	return j.size.bytes()+bytes <= maxRow
+}
+
+// widestLife is what the life of a worker takes in a row, with the birth that takes most, whose id
+// is the longest that the platform allows and is written as it is.
+const widestLife = len(taskAssigned) + 200 + len("@-1y2p0ij32e8e8")
+
+// checkState returns ErrCannotRun for a workflow whose row never has room for all that must be
+// placed at once on the workers that the cell knows.
+func (c *Cell) checkState(workflow cottonlanding.Workflow, queue cottonlanding.Queue) error {
+	if stateFits(workflow, widestLife) {
+		return nil
+	}
+	longest := c.longestLife(queue.Service)
+	if stateFits(workflow, longest) {
+		return nil
+	}
+	return fmt.Errorf("%w: its lasting tasks and its largest gang must be placed at once, which may take over %d bytes to keep where a worker takes %d",
+		cottonlanding.ErrCannotRun, maxRow, longest)
+}
+
+// longestLife returns the most that the life of a service's worker takes in a row, in bytes.
+func (c *Cell) longestLife(service cottonlanding.ServiceName) int {
+	longest := 0
+	for _, w := range c.workers {
+		if w.info.Service == service {
+			longest = max(longest, lifeBytes(w.life()))
+		}
+	}
+	return longest
+}
+
+// stateFits reports whether a workflow's row has room for all rounds that are open at the same
+// time, with its lasting tasks and its largest gang placed on lives of so many bytes. Rounds with
+// lasting tasks are never finished, so that none of them is left out.
+func stateFits(workflow cottonlanding.Workflow, life int) bool {
+	lasting, gang := 0, 0
+	for _, step := range workflow.Steps {
+		switch {
+		case step.Lasting:
+			lasting += step.Tasks
+		case step.Gang:
+			gang = max(gang, step.Tasks)
+		}
+	}
+	tasks := tasksPerRound(workflow)
+	size := rowSize{undone: tasks, lives: (lasting + gang) * life}
+	if lasting > 0 {
+		earlier := min(max(0, workflow.Schedule.Rounds-1), maxRow) // more have no room in any case
+		size.undone += earlier * lasting
+		size.done += earlier * (tasks - lasting)
+		size.lives += earlier * lasting * life
+	}
+	return size.usualBytes() <= mostForRounds && size.bytes() <= maxRow
+}
+
 // tasksPerRound counts the tasks of one round.
 func tasksPerRound(workflow cottonlanding.Workflow) int {
 	count := 0
--- a/internal/workflow/planner/rowsize_test.go
+++ b/internal/workflow/planner/rowsize_test.go
@@ -3,10 +3,12 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/policy/selector"
@@ -16,7 +18,7 @@
 // rowPlay plays one cell and the workers of one service, each of which ends all that it starts by the next
 // look, and checks the length of each row.
 type rowPlay struct {
-	t       *testing.T
+	t       require.TestingT
 	now     cottonlanding.Millis
 	cell    *planner.Cell
 	epoch   cottonlanding.Epoch
@@ -28,12 +30,14 @@
 	runs map[cottonlanding.WorkerID][]cottonlanding.RunKey
 	ends map[cottonlanding.WorkerID][]cottonlanding.RunEnd
 	seen map[cottonlanding.WorkerID]uint64
-	// starts counts the starts of each task, kind is how the runs end.
+	// starts counts the starts of each task, kind is how the runs end; where it's empty they go on.
 	starts map[cottonlanding.TaskRef]int
 	kind   cottonlanding.EndKind
+	// stopped is a task all of whose runs are stopped, unless it is nil.
+	stopped *cottonlanding.TaskRef
 }
 
-func newRowPlay(t *testing.T, ids ...cottonlanding.WorkerID) *rowPlay {
+func newRowPlay(t require.TestingT, ids ...cottonlanding.WorkerID) *rowPlay {
 	p := &rowPlay{
 		t: t, now: 1000, kind: cottonlanding.EndDone,
 		rows:   make(map[cottonlanding.Key]cottonlanding.Row),
@@ -42,12 +46,24 @@
 		seen:   make(map[cottonlanding.WorkerID]uint64),
 		starts: make(map[cottonlanding.TaskRef]int),
 	}
+	p.workers = rowWorkers(ids...)
+	p.takeOver()
+	return p
+}
+
+func rowWorkers(ids ...cottonlanding.WorkerID) []cottonlanding.WorkerInfo {
+	var out []cottonlanding.WorkerInfo
 	for _, id := range ids {
-		p.workers = append(p.workers, cottonlanding.WorkerInfo{ID: id, Born: 1_750_000_000_000, Address: cottonlanding.Address(id), Service: "S",
+		out = append(out, cottonlanding.WorkerInfo{ID: id, Born: 1_750_000_000_000, Address: cottonlanding.Address(id), Service: "S",
 			State: cottonlanding.Live, Capacity: cottonlanding.Resources{CPU: 1000}})
 	}
-	p.takeOver()
-	return p
+	return out
+}
+
+// replaceWorkers has other workers in place of all.
+func (p *rowPlay) replaceWorkers(ids ...cottonlanding.WorkerID) {
+	p.workers = rowWorkers(ids...)
+	p.cell.SetWorkers(p.workers, p.now)
 }
 
 // takeOver makes a new owner from the committed rows.
@@ -82,6 +98,24 @@
 	p.cell.Committed(plan, p.version)
 }
 
+// crash has a worker come back in another life, which knows nothing of the one before.
+func (p *rowPlay) crash(at int) {
+	p.workers = slices.Clone(p.workers)
+	p.workers[at].Born++
+	id := p.workers[at].ID
+	delete(p.runs, id)
+	delete(p.ends, id)
+	delete(p.seen, id)
+}
+
+func progressOf(runs []cottonlanding.RunKey) []cottonlanding.RunProgress {
+	var out []cottonlanding.RunProgress
+	for _, key := range runs {
+		out = append(out, cottonlanding.RunProgress{RunKey: key, Percent: 100})
+	}
+	return out
+}
+
 // order takes all orders: starts run from now on.
 func (p *rowPlay) order() {
 	for _, order := range p.cell.Orders(p.now) {
@@ -101,13 +135,22 @@
 			continue
 		}
 		report := cottonlanding.RunReport{Born: worker.Born, Reading: cottonlanding.Reading(p.now)}
+		if p.kind == "" {
+			report.Running = progressOf(p.runs[worker.ID])
+			p.cell.Looked(next, report, p.now, p.now)
+			continue
+		}
 		for _, key := range p.runs[worker.ID] {
 			serial := uint64(len(p.ends[worker.ID]) + 1)
-			p.ends[worker.ID] = append(p.ends[worker.ID], cottonlanding.RunEnd{RunKey: key, Serial: serial, Kind: p.kind})
+			end := cottonlanding.RunEnd{RunKey: key, Serial: serial, Kind: p.kind}
+			if p.stopped != nil && key.Task == *p.stopped {
+				end.Kind = cottonlanding.EndStopped
+			}
+			p.ends[worker.ID] = append(p.ends[worker.ID], end)
 		}
 		delete(p.runs, worker.ID)
 		p.seen[worker.ID] = max(p.seen[worker.ID], next.Look.Seen)
-		ended := p.ends[worker.ID][p.seen[worker.ID]:]
+		ended := p.ends[worker.ID][min(p.seen[worker.ID], uint64(len(p.ends[worker.ID]))):] // Seen may be of the life before
 		report.Ended = ended[:min(len(ended), 500)]
 		p.cell.Looked(next, report, p.now, p.now)
 	}
@@ -132,7 +175,7 @@
 			p.takeOver()
 		}
 	}
-	p.t.Fatalf("%s hasn't succeeded, %d tasks have begun", id, len(p.starts))
+	require.Fail(p.t, "not finished", "%s hasn't succeeded, %d tasks have begun", id, len(p.starts))
 }
 
 func (p *rowPlay) requireAccepted(workflow cottonlanding.Workflow) {
@@ -198,3 +241,237 @@
 	require.Equal(t, 2, older.Rounds)
 	require.Error(t, json.Unmarshal(p.rows[planner.StateKey(partition, "many")].Value, &older))
 }
+
+// longID returns the id of a worker of so many bytes.
+func longID(letter string, length int) cottonlanding.WorkerID {
+	return cottonlanding.WorkerID(strings.Repeat(letter, length))
+}
+
+// TestTasksOnWorkersWithLongIDsAreRun: tasks that the row can't hold all at once with the ids of their workers are
+// run one after the other, each once, however long the ids are, alone or beside many rounds.
+func TestTasksOnWorkersWithLongIDsAreRun(t *testing.T) {
+	for name, id := range map[string]cottonlanding.WorkerID{
+		"60 bytes":     longID("i", 60),
+		"200 bytes":    longID("i", 200),
+		"200 escaped":  longID("<", 200),
+		"200 replaced": longID("\ufffd", 66), // no UTF-8, as decoders read it
+	} {
+		for _, one := range []struct{ tasks, rounds int }{{1000, 0}, {200, 60}} {
+			t.Run(fmt.Sprintf("%s, %d rounds", name, one.rounds), func(t *testing.T) {
+				p := newRowPlay(t, id)
+				workflow := cottonlanding.Workflow{ID: "w", Queue: "Q", Steps: []cottonlanding.Step{plainStep(one.tasks)}}
+				if one.rounds > 0 {
+					workflow.Schedule = cottonlanding.Schedule{First: 1, Rounds: one.rounds}
+				}
+				p.requireAccepted(workflow)
+				p.playUntilDone("w", 3000)
+				require.Len(t, p.starts, one.tasks*max(1, one.rounds))
+				for task, count := range p.starts {
+					require.Equal(t, 1, count, "starts of %s", task)
+				}
+			})
+		}
+	}
+}
+
+// TestLargestWorkflowRunsWhole: where ids of workers have two dozen bytes, all tasks of the largest workflow are placed at
+// once, as a gang too.
+func TestLargestWorkflowRunsWhole(t *testing.T) {
+	for name, change := range map[string]func(*cottonlanding.Step){
+		"plain":   func(*cottonlanding.Step) {},
+		"lasting": func(s *cottonlanding.Step) { s.Lasting = true },
+		"gang":    func(s *cottonlanding.Step) { s.Gang = true },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newRowPlay(t, longID("i", 22), longID("j", 22))
+			p.kind = ""
+			step := plainStep(1000)
+			change(&step)
+			p.requireAccepted(cottonlanding.Workflow{ID: "w", Queue: "Q", Steps: []cottonlanding.Step{step}})
+			for range 20 {
+				p.turn()
+			}
+			require.Len(t, p.starts, 1000)
+		})
+	}
+}
+
+// TestWorkflowsThatNeverHaveRoomAreRefused: lasting tasks and gangs that a row can't hold all at once with the ids of the
+// workers would wait for good.
+func TestWorkflowsThatNeverHaveRoomAreRefused(t *testing.T) {
+	lasting, gang := plainStep(1000), plainStep(1000)
+	lasting.Lasting, gang.Gang = true, true
+	once := cottonlanding.Schedule{}
+	for name, one := range map[string]struct {
+		step     cottonlanding.Step
+		schedule cottonlanding.Schedule
+		idLength int
+		refused  bool
+	}{
+		"lasting, long ids":     {lasting, once, 60, true},
+		"lasting":               {lasting, once, 12, false},
+		"gang, long ids":        {gang, once, 60, true},
+		"gang":                  {gang, once, 12, false},
+		"lasting, two rounds":   {lasting, cottonlanding.Schedule{First: 1, Rounds: 2}, 12, true},
+		"lasting, many rounds":  {lasting, cottonlanding.Schedule{First: 1, Rounds: 1 << 62}, 12, true},
+		"plain, long ids":       {plainStep(1000), once, 200, false},
+		"gang of few, long ids": {cottonlanding.Step{Tasks: 100, Gang: true, Resources: cottonlanding.Resources{CPU: 1}}, once, 200, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newRowPlay(t, longID("i", one.idLength))
+			answered := false
+			p.cell.Submit(cottonlanding.Workflow{ID: "w", Queue: "Q", Steps: []cottonlanding.Step{one.step}, Schedule: one.schedule}, p.now, func(err error) {
+				answered = true
+				if one.refused {
+					require.ErrorIs(t, err, cottonlanding.ErrCannotRun)
+					return
+				}
+				require.NoError(t, err)
+			})
+			p.commit()
+			require.True(t, answered)
+			require.Equal(t, !one.refused, p.cell.Knows("w"))
+		})
+	}
+}
+
+// TestGangWaitsForRoomInItsRow: workers with long ids may come after a gang was accepted. It isn't placed then,
+// and is once there are others.
+func TestGangWaitsForRoomInItsRow(t *testing.T) {
+	p := newRowPlay(t)
+	gang := plainStep(900)
+	gang.Gang = true
+	p.requireAccepted(cottonlanding.Workflow{ID: "w", Queue: "Q", Steps: []cottonlanding.Step{gang}})
+	p.replaceWorkers(longID("i", 60))
+	for range 20 {
+		p.turn()
+	}
+	require.Empty(t, p.starts)
+	p.replaceWorkers(longID("i", 12))
+	p.playUntilDone("w", 100)
+	require.Len(t, p.starts, 900)
+}
+
+// TestRowsTakeNoMoreThanIsCounted plays workflows whose tasks fail, crash their workers and are taken over, and holds each
+// row against what was counted for it.
+func TestRowsTakeNoMoreThanIsCounted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		letters := rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b<", "c\"", "d\n", "\ufffd", "é", "\u2028"}), 1, 4).Draw(t, "Letters")
+		var ids []cottonlanding.WorkerID
+		for at, letter := range letters {
+			ids = append(ids, cottonlanding.WorkerID(fmt.Sprint(at))+longID(letter, rapid.IntRange(1, 60).Draw(t, "Length")))
+		}
+		p := newRowPlay(t, ids...)
+		var workflows []cottonlanding.WorkflowID
+		for at := range rapid.IntRange(1, 2).Draw(t, "Workflows") {
+			step := plainStep(rapid.IntRange(1, 300).Draw(t, "Tasks"))
+			step.Gang, step.Lasting = rapid.Bool().Draw(t, "Gang"), rapid.Bool().Draw(t, "Lasting")
+			workflow := cottonlanding.Workflow{ID: cottonlanding.WorkflowID(fmt.Sprint("w", at)), Queue: "Q", Steps: []cottonlanding.Step{step}}
+			workflow.Schedule.Rounds = rapid.IntRange(0, 8).Draw(t, "Rounds")
+			p.cell.Submit(workflow, p.now, func(error) {}) // it may be refused
+			workflows = append(workflows, workflow.ID)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"turn": func(t *rapid.T) {
+				p.kind = rapid.SampledFrom([]cottonlanding.EndKind{"", cottonlanding.EndDone, cottonlanding.EndFailed, cottonlanding.EndStopped}).Draw(t, "Kind")
+				p.turn()
+			},
+			"pass":  func(*rapid.T) { p.now += 10 * cottonlanding.Second },
+			"crash": func(t *rapid.T) { p.crash(rapid.IntRange(0, len(p.workers)-1).Draw(t, "Worker")) },
+			"list":  func(*rapid.T) { p.cell.SetWorkers(p.workers, p.now) },
+			"owner": func(*rapid.T) { p.takeOver() },
+			"cancel": func(t *rapid.T) {
+				p.cell.Cancel(rapid.SampledFrom(workflows).Draw(t, "Workflow"), p.now, func(error) {})
+			},
+			"": func(t *rapid.T) {
+				for _, id := range workflows {
+					bytes, counted := p.cell.RowBytes(id)
+					require.LessOrEqual(t, bytes, counted)
+					require.LessOrEqual(t, counted, 65_000)
+				}
+			},
+		})
+	})
+}
+
+// TestRowsWithTheLargestNumbersFit: what is counted covers a task with the largest numbers that one can come to.
+func TestRowsWithTheLargestNumbersFit(t *testing.T) {
+	const tasks = 1000
+	p := newRowPlay(t)
+	p.requireAccepted(cottonlanding.Workflow{ID: "w", Queue: "Q", Steps: []cottonlanding.Step{plainStep(tasks)}})
+	task := `["A",4294967295,"` + strings.Repeat("i", 23) + `@zik0zjzz",999,"",5,5],`
+	key := planner.StateKey(partition, "w")
+	row := p.rows[key]
+	row.Value = []byte(`{"State":"Running","Begun":true,"Rounds":1,"Tasks":[` + strings.TrimSuffix(strings.Repeat(task, tasks), ",") + `]}`)
+	p.rows[key] = row
+	p.takeOver()
+	bytes, counted := p.cell.RowBytes("w")
+	require.Greater(t, bytes, tasks*len(task))
+	require.LessOrEqual(t, bytes, counted)
+	require.LessOrEqual(t, counted, 65_000)
+}
+
+// TestRowsWithLongReasonsFit: the reason of a workflow that has failed names it and a worker, and their ids may be long.
+func TestRowsWithLongReasonsFit(t *testing.T) {
+	id := cottonlanding.WorkflowID(strings.Repeat("<", 600))
+	p := newRowPlay(t, longID("<", 200))
+	p.kind = cottonlanding.EndFailed
+	p.requireAccepted(cottonlanding.Workflow{ID: id, Queue: "Q", Steps: []cottonlanding.Step{plainStep(1)}})
+	for range 20 {
+		p.turn()
+	}
+	state, _ := p.cell.State(id)
+	require.Equal(t, cottonlanding.WorkflowFailed, state)
+	bytes, counted := p.cell.RowBytes(id)
+	require.LessOrEqual(t, bytes, counted)
+}
+
+// TestWhatAnotherCellMightRefuseStays: a workflow that was accepted and is handed over must be taken there, also where
+// the workers have longer ids.
+func TestWhatAnotherCellMightRefuseStays(t *testing.T) {
+	p := newRowPlay(t)
+	for id, tasks := range map[cottonlanding.WorkflowID]int{"few": 200, "many": 600} {
+		step := plainStep(tasks)
+		step.Lasting = true
+		p.requireAccepted(cottonlanding.Workflow{ID: id, Queue: "Q", Steps: []cottonlanding.Step{step}})
+	}
+	p.now += cottonlanding.Second
+	leavers := p.cell.Leavers(10, p.now)
+	require.Len(t, leavers, 1)
+	require.EqualValues(t, "few", leavers[0].ID)
+	other := newRowPlay(t, longID("i", 200))
+	other.requireAccepted(leavers[0])
+}
+
+// TestRoundThatIsOverLast: while the first round goes on, later ones that are finished stay in the row. They leave room for it to
+// run on a worker with the longest id.
+func TestRoundThatIsOverLast(t *testing.T) {
+	const rounds = 10_600
+	p := newRowPlay(t, "w1")
+	p.stopped = &cottonlanding.TaskRef{Workflow: "w"}
+	p.requireAccepted(cottonlanding.Workflow{ID: "w", Queue: "Q", Steps: []cottonlanding.Step{plainStep(1)},
+		Schedule: cottonlanding.Schedule{First: 1, Rounds: rounds}})
+	for range 60 {
+		p.turn()
+	}
+	require.Less(t, len(p.starts), rounds, "the row has room for all rounds")
+	p.stopped = nil
+	p.replaceWorkers(longID("<", 200))
+	p.playUntilDone("w", 200)
+	require.Len(t, p.starts, rounds)
+}
+
+// TestFinishedRoundsMakeRoomForAGang: rounds that are over give way to a gang on workers with long ids, also where no
+// other round is due.
+func TestFinishedRoundsMakeRoomForAGang(t *testing.T) {
+	const rounds, members = 68, 100
+	p := newRowPlay(t, longID("i", 200))
+	gang := plainStep(members)
+	gang.Gang = true
+	p.requireAccepted(cottonlanding.Workflow{ID: "w", Queue: "Q", Steps: []cottonlanding.Step{gang},
+		Schedule: cottonlanding.Schedule{First: 1, Interval: 500, Rounds: rounds}})
+	for range 500 {
+		p.turn()
+	}
+	require.Len(t, p.starts, rounds*members)
+}
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -88,7 +88,8 @@
 	for _, member := range members {
 		if member.state != taskDone {
 			member.state = taskDone
-			member.life, member.checkpoint = cottonlanding.Life{}, knownCheckpoint{}
+			member.setLife(cottonlanding.Life{})
+			member.checkpoint = knownCheckpoint{}
 			t.stage.done++
 			t.job.size.noteDone()
 		}
@@ -133,7 +134,8 @@
 	if t.state == taskDone {
 		return
 	}
-	t.state, t.since, t.life = taskWaiting, now, cottonlanding.Life{}
+	t.state, t.since = taskWaiting, now
+	t.setLife(cottonlanding.Life{})
 	c.touch(t.job)
 }
 
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -60,10 +60,9 @@
 
 // tellWaiting logs why a task has no worker yet: how many were ruled out by what.
 func (c *Cell) tellWaiting(t *task, now cottonlanding.Millis) {
-	if now-t.since < tellWaitingAfter || now-t.stage.toldAt < tellWaitingEvery && t.stage.toldAt > 0 {
+	if !t.tellsWaiting(now) {
 		return
 	}
-	t.stage.toldAt = now
 	var unusable, barred, full, disturbed int
 	for _, w := range c.sortedWorkers() {
 		switch {
@@ -80,3 +79,20 @@
 	c.log.Info("step waits", "Task", t.ref.String(), "Waited", now-t.since, "Workers", len(c.workers), "Unusable", unusable,
 		"Barred", barred, "Full", full, "WouldDisturb", disturbed, "CPU", int64(t.stage.Resources.CPU), "Memory", t.stage.Resources.Memory.String())
 }
+
+// tellsWaiting reports whether it's time to log why a task waits, and notes that it is logged.
+func (t *task) tellsWaiting(now cottonlanding.Millis) bool {
+	if now-t.since < tellWaitingAfter || now-t.stage.toldAt < tellWaitingEvery && t.stage.toldAt > 0 {
+		return false
+	}
+	t.stage.toldAt = now
+	return true
+}
+
+// tellRowFull logs that a task waits although a worker has room: with it the workflow's row might
+// be longer than the table takes.
+func (c *Cell) tellRowFull(t *task, now cottonlanding.Millis) {
+	if t.tellsWaiting(now) {
+		c.log.Warn("step waits for room in the workflow's row", "Task", t.ref.String(), "Waited", now-t.since, "Bytes", t.job.size.bytes(), "Most", maxRow)
+	}
+}
