--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -88,8 +88,10 @@
 	for _, member := range members {
 		if member.state != taskDone {
 			member.state = taskDone
-			member.life, member.checkpoint = cottonlanding.Life{}, knownCheckpoint{}
+			member.setLife(cottonlanding.Life{})
+			member.checkpoint = knownCheckpoint{}
 			t.stage.done++
+			t.job.size.noteDone()
 		}
 	}
 	j := t.job
@@ -119,7 +121,7 @@
 			member.failures = max(member.failures, t.failures)
 		}
 	}
-	if t.failures >= max(1, t.job.queue.Attempts) {
+	if t.failures >= min(max(1, t.job.queue.Attempts), mostFailures) {
 		c.counts.Failed++
 		c.end(t.job, cottonlanding.WorkflowFailed, "task "+t.ref.String()+" failed too often, last on "+string(w.info.ID), now)
 		return
@@ -132,7 +134,8 @@
 	if t.state == taskDone {
 		return
 	}
-	t.state, t.since, t.life = taskWaiting, now, cottonlanding.Life{}
+	t.state, t.since = taskWaiting, now
+	t.setLife(cottonlanding.Life{})
 	c.touch(t.job)
 }
 
