A test of runs that are taken for lost before they went out (red)

Callers saw: after workers had crashed, tasks were placed on those that were back up to 26 times within two seconds, and began late.

A worker that was idle has no lease. A run that is placed there is given up in the next turn if its row isn't committed by then, as the rows of many others go first. The second test holds what must not change: a run that never went out doesn't wait for a worker that has fallen silent.

--- /dev/null
+++ b/internal/workflow/planner/lapse_test.go
@@ -0,0 +1,62 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+const (
+	// manyWorkflows are more than one plan takes.
+	manyWorkflows = 100
+	// idleFor is longer than any lease.
+	idleFor = 10 * cottonlanding.Second
+)
+
+// TestPlacedRunOutlastsAnIdleWorkersLease: a worker that has been idle has no lease, and may hold back its answer for
+// seconds. A run that is placed there, and that isn't committed in the next turns since many others go before, isn't
+// taken for lost.
+func TestPlacedRunOutlastsAnIdleWorkersLease(t *testing.T) {
+	w := newSpreadWorld(t)
+	w.labelAll()
+	w.addWorker()
+	w.workers[4].Labels = []cottonlanding.Label{"New"}
+	w.relist()
+	w.play(idleFor)
+	for number := range manyWorkflows {
+		step := short(100)
+		step.Requires = oldLabel
+		w.submit(cottonlanding.WorkflowID(fmt.Sprintf("before%d", number)), "Urgent", step)
+	}
+	step := short(100)
+	step.Requires = "New"
+	w.submit("behind", "Urgent", step)
+	for range 4 {
+		w.decide(turnSpan)
+	}
+	w.play(2 * cottonlanding.Second)
+	require.Zero(t, w.cell.Counts().Lost)
+	require.Equal(t, manyWorkflows+1, w.runner.Starts())
+	w.requireState("behind", cottonlanding.WorkflowSucceeded)
+}
+
+// TestPlacedRunLeavesASilentWorker: a run that never went out waits for no worker that has fallen silent for longer than
+// any lease.
+func TestPlacedRunLeavesASilentWorker(t *testing.T) {
+	w := newSpreadWorld(t)
+	w.play(idleFor)
+	w.submit("placed", "Urgent", short(100))
+	w.now += turnSpan
+	w.begin()
+	for _, worker := range w.workers {
+		w.runner.Dark(worker.ID, true)
+	}
+	w.lookAll()
+	w.play(cottonlanding.Second)
+	w.join()
+	w.play(idleFor)
+	w.requireState("placed", cottonlanding.WorkflowSucceeded)
+}
