A run that didn't go out yet is no loss while its worker answers

Callers saw: after a tenth of the workers had crashed, lasting tasks were placed on those that were back up to 72 times within two seconds; some found the room taken in the end, and waited for 20 s and more in a full cell.

Cause: a worker that was idle has no lease. The bound of its last one has passed, and nothing moves it before the first start goes out. A run placed there counted as lost with that bound in the next decision, if its row hadn't been committed by then: with hundreds of rows to write at once a plan leaves most out. It was placed again, its row was dirty again, and its wait began anew, so that it lost its claim on room.

Change: the runs of a listed worker that answers lapse only if one of them may have begun.

Why it holds: a start takes its lease with it when it goes out, so that a run that may have begun is under the bound as before. Runs on workers that are silent or off the list are given up as before.

--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -221,6 +221,16 @@
 // fitsIn reports whether no more room is held than there is.
 func fitsIn(free cottonlanding.Resources) bool { return cottonlanding.Resources{}.Fits(free) }
 
+// lapsed reports whether the runs of a worker have surely ended, or will surely not begin. One that
+// has been idle has no lease, and its next start brings one: while it answers, runs that didn't go
+// out yet are no loss.
+func (w *worker) lapsed(now cottonlanding.Millis) bool {
+	if w.runs.size() == 0 || now <= w.bound || w.listed && !w.asked {
+		return false
+	}
+	return !w.listed || !w.reachable(now) || slices.ContainsFunc(w.runs.all(), (*run).mayHaveBegun)
+}
+
 // firstToGo orders the kinds of tasks by how easily they give way.
 func firstToGo(k kind) int { return slices.Index([]kind{fillingTask, shortTask, lastingTask}, k) }
 
@@ -228,7 +238,7 @@
 // each of them: what it ran may have ended well before that, and must not be run again.
 func (c *Cell) lapse(now cottonlanding.Millis) {
 	for _, w := range c.sortedWorkers() {
-		if w.runs.size() > 0 && now > w.bound && (w.asked || !w.listed) {
+		if w.lapsed(now) {
 			c.loseWorker(w, now, lossByLapse)
 		}
 		if !w.listed && w.runs.size() == 0 {
