Lasting tasks that never ran leave room that is due to those that have run

Callers saw: LOST.

Cause: for the six seconds until the leases of silent workers have run out their lasting tasks count as running. Others that never ran take the room that comes meanwhile, and hold it for good; later, too, between half a second and five seconds after its interruption a task has no claim before them. What finds no room then can't leave its cell.

Ruled out: to let interrupted workflows leave their cell. It would mend the rest, and is another design: see docs/design/many-owners.md. To hold back newcomers altogether: small rests are of no use to what is due.

Change: a lasting task that never ran takes no worker on which one that has run and waits, is being stopped, or sits on a silent worker would fit, unless lasting tasks leave half of the service's room in the cell or several times what is due. No room is made or kept for it there either.

Why it holds: what must run again is before what may wait, as long as there is too little for both. While half is free nothing changes, so that the rule on workflows with nothing running is kept. Tasks that find a full cell still wait there; a fuller one may break the rule by that.

--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -89,6 +89,8 @@
 	// runs that run apart.
 	outages      []outage
 	apartWorkers []*worker
+	// due is what is due to lasting tasks that have run, as of the last decision.
+	due dues
 	// superseded says that a worker has seen a newer owner.
 	superseded bool
 	counts     Counts
--- /dev/null
+++ b/internal/workflow/planner/due.go
@@ -0,0 +1,133 @@
+package planner
+
+import (
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// A lasting task that has run is missed by its users, and there is a time by which it must run
+// again. One that never ran holds the room that it gets for good. So where little room is left
+// for lasting tasks, such newcomers take none that is due to tasks that have run: those that wait
+// for their next run, and those whose run will surely or probably be lost. The latter are known
+// some seconds before: a worker that falls silent keeps its runs until its lease has run out, and
+// what has crashed may be back long before that.
+
+// littlePart is the part of a cell's room, as a divisor, below which what lasting tasks leave is
+// little. Source: the rule that asks for a start of whatever waits while less than half is in use.
+const littlePart = 2
+
+// dues is what is due to lasting tasks that have run.
+type dues struct {
+	tasks []*task
+	// rooms is what is left for them, by service.
+	rooms map[cottonlanding.ServiceName]lastingRoom
+}
+
+// lastingRoom is the room of the usable workers of a service.
+type lastingRoom struct {
+	// left is what lasting tasks leave of capacity.
+	left     cottonlanding.Resources
+	capacity cottonlanding.Resources
+}
+
+// reckonDues works out anew what is due.
+func (c *Cell) reckonDues(now cottonlanding.Millis) {
+	c.due = dues{}
+	for _, j := range c.order {
+		if j.lasts {
+			j.eachTask(c.noteDue)
+		}
+	}
+	if len(c.due.tasks) == 0 {
+		return
+	}
+	c.due.rooms = make(map[cottonlanding.ServiceName]lastingRoom)
+	for _, w := range c.sortedWorkers() {
+		if w.usable(now) {
+			room := c.due.rooms[w.info.Service]
+			c.due.rooms[w.info.Service] = lastingRoom{room.left.Plus(w.passing()), room.capacity.Plus(w.info.Capacity)}
+		}
+	}
+}
+
+func (c *Cell) noteDue(t *task) {
+	if t.awaitsRun() {
+		c.due.tasks = append(c.due.tasks, t)
+	}
+}
+
+// awaitsRun reports whether a lasting task that has run waits for its next run, or will as far as
+// is known: its run is being stopped, or its worker is silent.
+func (t *task) awaitsRun() bool {
+	if !t.stage.Lasting || t.stage.Fills || t.number == 0 {
+		return false
+	}
+	if t.run == nil {
+		return t.state == taskWaiting
+	}
+	return t.run.stopping || t.run.worker.failed
+}
+
+// isNewcomer reports whether a lasting task never ran.
+func (t *task) isNewcomer() bool { return t.stage.Lasting && !t.stage.Fills && t.number == 0 }
+
+// standsBackInStep reports whether room may be due to another task of a newcomer's step.
+func (c *Cell) standsBackInStep(t *task) bool {
+	return t.isNewcomer() && slices.ContainsFunc(c.due.tasks, func(other *task) bool {
+		return other.stage == t.stage && other.awaitsRun()
+	})
+}
+
+// isDue reports whether the room that a task would take on a worker is due to others: little is
+// left for all of them, and one of them could use it, now or once short tasks end there.
+func (c *Cell) isDue(t *task, w *worker, now cottonlanding.Millis) bool {
+	if len(c.due.tasks) == 0 || !t.isNewcomer() || !c.due.tight(t) {
+		return false
+	}
+	left := w.passing()
+	return slices.ContainsFunc(c.due.tasks, func(other *task) bool {
+		return other.goesBefore(t) && other.stage.Reserved().Fits(left) && c.allowed(other, w, now)
+	})
+}
+
+// goesBefore reports whether a task that awaited its run in this decision still does, and goes
+// before a newcomer: it is of the same service and not less urgent.
+func (t *task) goesBefore(newcomer *task) bool {
+	queue, other := t.job.queue, newcomer.job.queue
+	return t.awaitsRun() && queue.Service == other.Service && queue.Priority <= other.Priority
+}
+
+// tight reports whether little is left for lasting tasks, and not several times what is due and
+// what the task needs.
+func (d dues) tight(t *task) bool {
+	room := d.rooms[t.job.queue.Service]
+	if room.capacity.Fits(several(littlePart, room.left)) {
+		return false
+	}
+	need := t.stage.Reserved()
+	for _, other := range d.tasks {
+		if other.goesBefore(t) {
+			need = need.Plus(other.stage.Reserved())
+		}
+	}
+	return !several(roomFactor, need).Fits(room.left)
+}
+
+// noteTaken takes in that a lasting task was given room.
+func (d dues) noteTaken(t *task) {
+	room, known := d.rooms[t.job.queue.Service]
+	if known && t.stage.Lasting && !t.stage.Fills {
+		room.left = room.left.Minus(t.stage.Reserved())
+		d.rooms[t.job.queue.Service] = room
+	}
+}
+
+// several returns resources several times over.
+func several(times int, of cottonlanding.Resources) cottonlanding.Resources {
+	sum := cottonlanding.Resources{}
+	for range times {
+		sum = sum.Plus(of)
+	}
+	return sum
+}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -70,6 +70,7 @@
 func (c *Cell) place(now cottonlanding.Millis) {
 	placed := 0
 	var misses missList
+	c.reckonDues(now)
 	for _, s := range c.waitingStages(now) {
 		if placed >= maxPlacements {
 			return
@@ -95,8 +96,8 @@
 			continue
 		}
 		w := c.pickUnlessMissed(t, misses, now)
-		if w == nil && c.apart(t, now) {
-			continue // there may be room beside others
+		if w == nil && (c.apart(t, now) || c.standsBackInStep(t)) {
+			continue // there may be room beside others, or for others
 		}
 		if w == nil {
 			c.noRoom(t, now)
@@ -157,6 +158,7 @@
 		t.job.state = cottonlanding.WorkflowRunning
 	}
 	c.touch(t.job)
+	c.due.noteTaken(t)
 	c.noteBegun(t, w, now)
 	c.stories.notePlaced(t, w, now)
 }
@@ -223,7 +225,7 @@
 // fits reports whether a worker may run a task and has room for it now.
 func (c *Cell) fits(t *task, w *worker, now cottonlanding.Millis) bool {
 	room := c.room(w, now)
-	if !t.stage.Reserved().Fits(room.free) || !c.allowed(t, w, now) || w.keptFrom(t, now) || c.keptApart(t, w, now) {
+	if !t.stage.Reserved().Fits(room.free) || !c.allowed(t, w, now) || w.keptFrom(t, now) || c.keptApart(t, w, now) || c.isDue(t, w, now) {
 		return false
 	}
 	if !t.stage.Fills {
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -35,7 +35,7 @@
 		if !t.stage.Reserved().Fits(c.room(w, now).most(t.job.queue.Priority)) {
 			continue // weighing all runs of all workers would take most of an owner's time
 		}
-		if !c.allowed(t, w, now) || w.health.doubtful(now) {
+		if !c.allowed(t, w, now) || w.health.doubtful(now) || c.isDue(t, w, now) {
 			continue
 		}
 		victims, loss := c.victims(t, w, now)
@@ -70,7 +70,7 @@
 			kept++
 			continue
 		}
-		possible := c.allowed(t, w, now) && t.stage.Reserved().Fits(w.passing())
+		possible := c.allowed(t, w, now) && t.stage.Reserved().Fits(w.passing()) && !c.isDue(t, w, now)
 		if possible && (best == nil || c.room(w, now).free.CPU > c.room(best, now).free.CPU) {
 			best = w
 		}
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -64,7 +64,7 @@
 		return
 	}
 	t.stage.toldAt = now
-	var unusable, barred, full, disturbed int
+	var unusable, barred, full, due, disturbed int
 	for _, w := range c.sortedWorkers() {
 		switch {
 		case !w.usable(now):
@@ -73,10 +73,12 @@
 			barred++
 		case !t.stage.Reserved().Fits(c.room(w, now).free):
 			full++
+		case c.isDue(t, w, now):
+			due++
 		default:
 			disturbed++
 		}
 	}
 	c.log.Info("step waits", "Task", t.ref.String(), "Waited", now-t.since, "Workers", len(c.workers), "Unusable", unusable,
-		"Barred", barred, "Full", full, "WouldDisturb", disturbed, "CPU", int64(t.stage.Resources.CPU), "Memory", t.stage.Resources.Memory.String())
+		"Barred", barred, "Full", full, "Due", due, "WouldDisturb", disturbed, "CPU", int64(t.stage.Resources.CPU), "Memory", t.stage.Resources.Memory.String())
 }
