--- a/internal/workflow/driver/driver_test.go
+++ b/internal/workflow/driver/driver_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"sync/atomic"
@@ -228,32 +227,6 @@
 	})
 }
 
-// TestOwnerThatIsBehindRefusesAtOnce: what would only be answered after its client has
-// given up is refused at once, but for what may have been accepted already.
-func TestOwnerThatIsBehindRefusesAtOnce(t *testing.T) {
-	policy := &costly{PlacementPolicy: spread(), cost: time.Millisecond}
-	o := newOwner(t, setup{workers: 40, room: 100, policy: policy})
-	defer o.driver.Close()
-	o.submit("first", cottonlanding.Step{Tasks: 1})
-	policy.closed.Store(true) // all four are accepted before the first of them is placed
-	for number := range 4 {
-		o.submit(cottonlanding.WorkflowID(fmt.Sprintf("w%d", number)), cottonlanding.Step{Tasks: 400})
-	}
-	policy.closed.Store(false)
-	o.eventually("the owner falls behind", func() bool { return policy.spent.Load() > int64(time.Second) })
-	refused := 0
-	o.eventually("new work is refused", func() bool {
-		refused++
-		err := o.offer(cottonlanding.WorkflowID(fmt.Sprintf("late%d", refused)), cottonlanding.Step{Tasks: 1})
-		return errors.Is(err, cottonlanding.ErrUnavailable)
-	})
-	require.NoError(t, o.offer("w0", cottonlanding.Step{Tasks: 400}), "it was accepted before")
-	o.cancel("w0")
-	o.eventually("the owner has caught up", func() bool {
-		return o.offer("later", cottonlanding.Step{Tasks: 1}) == nil
-	})
-}
-
 // firstStopFails refuses one stop once it is told to.
 type firstStopFails struct {
 	cottonlanding.RunClient
@@ -272,14 +245,9 @@
 	cottonlanding.PlacementPolicy
 	cost  time.Duration
 	spent atomic.Int64
-	// closed says that no worker suits any task.
-	closed atomic.Bool
 }
 
 func (c *costly) Place(task cottonlanding.TaskView, candidates []cottonlanding.WorkerView) int {
-	if c.closed.Load() {
-		return cottonlanding.NoWorker
-	}
 	began := time.Now()
 	time.Sleep(c.cost)
 	c.spent.Add(int64(time.Since(began)))
--- a/internal/workflow/driver/owner_test.go
+++ b/internal/workflow/driver/owner_test.go
@@ -42,10 +42,15 @@
 	// client wraps the workers, table the table.
 	client func(cottonlanding.RunClient) cottonlanding.RunClient
 	table  func(cottonlanding.Table) cottonlanding.Table
+	// clock wraps the clock of the owner and its workers.
+	clock func(cottonlanding.Clock) cottonlanding.Clock
 }
 
 func newOwner(t *testing.T, s setup) *owner {
 	o := &owner{t: t, clock: cottonlanding.NewClock()}
+	if s.clock != nil {
+		o.clock = s.clock(o.clock)
+	}
 	o.runner = runner.New(o.clock, func(key cottonlanding.RunKey) runner.Fate {
 		return runner.Fate{Lasts: 200, Forever: key.Task.Workflow == "lasting"}
 	})
