A ledger of what is committed tells that each workflow is accepted once

Cause: the check, as suspected. A cell counts each workflow that it accepts, also one that another has handed over to it, so that one which waits for 0.6 s and moves counts twice.

Change: a table between the hosts and the one in memory notes each row by which a cell keeps a workflow. One that is accepted though a cell keeps it, or without a handover in the transaction that gave it up, is a violation in all tests of the package. TestFullCellRefers asks of each workflow that one cell keeps it and that it moved at most once. TestHandedOverWorkflowIsKeptByOneCell hands one over: three acceptances of two workflows, one keeper each.

Shown red: a home that takes in again what it has referred; a handover that leaves the rows at the home.

Why it holds: the check reads what is committed, of which a handover and an acceptance are told apart; counts in memory end with their owner and don't enter it.

--- a/internal/workflow/gateway/cells_test.go
+++ b/internal/workflow/gateway/cells_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand"
+	"slices"
 	"testing"
 	"time"
 
@@ -108,12 +109,9 @@
 			require.NotEmpty(t, d.state(host, id))
 		}
 	}
-	sum := int64(0)
-	for _, host := range d.hosts {
-		counts, _ := host.Counts()
-		sum += counts.Accepted
+	for number := range lasting {
+		d.keptByOne(cottonlanding.WorkflowID(fmt.Sprintf("lasting%d", number)))
 	}
-	require.EqualValues(t, lasting, sum, "each is accepted once")
 	d.kill(0)
 	for number := range lasting {
 		id := cottonlanding.WorkflowID(fmt.Sprintf("lasting%d", number))
@@ -135,6 +133,17 @@
 	}
 }
 
+// keptByOne checks that a workflow was accepted once, and once more only if its home has handed it
+// over in between: while that is under way, no cell keeps it.
+func (d *deployment) keptByOne(id cottonlanding.WorkflowID) {
+	d.t.Helper()
+	require.Eventually(d.t, func() bool { return d.ledger.account(id).kept }, 10*time.Second, 10*time.Millisecond, "workflow %s is kept", id)
+	require.Empty(d.t, d.ledger.broken())
+	keepers := d.ledger.account(id).keepers
+	require.LessOrEqual(d.t, len(keepers), 2, "workflow %s moves once: %v", id, keepers)
+	require.Len(d.t, slices.Compact(keepers), len(keepers), "workflow %s goes to another cell: %v", id, keepers)
+}
+
 // TestKillsOfOwners kills hosts one after another, two at once and all at once, while
 // workflows are handed in, each again until it is taken. No worker runs a task twice, and
 // all that was accepted is done.
--- a/internal/workflow/gateway/gateway_test.go
+++ b/internal/workflow/gateway/gateway_test.go
@@ -30,6 +30,7 @@
 	t        *testing.T
 	clock    cottonlanding.Clock
 	table    *switchedTable
+	ledger   *ledger
 	runner   *runner.Runner
 	workers  []cottonlanding.WorkerInfo
 	perCell  int
@@ -96,7 +97,8 @@
 func deployWith(t *testing.T, cells int, referral cottonlanding.ReferralPolicy) *deployment {
 	const workersPerCell = 4
 	clock := cottonlanding.NewClock()
-	d := &deployment{t: t, clock: clock, table: &switchedTable{Table: keeper.New()}, perCell: workersPerCell, referral: referral}
+	kept := newLedger(keeper.New())
+	d := &deployment{t: t, clock: clock, table: &switchedTable{Table: kept}, ledger: kept, perCell: workersPerCell, referral: referral}
 	d.runner = runner.New(clock, func(key cottonlanding.RunKey) runner.Fate {
 		return runner.Fate{Lasts: 100, Forever: strings.HasPrefix(string(key.Task.Workflow), "lasting")}
 	})
@@ -116,6 +118,7 @@
 			host.Close(ctx)
 		}
 		require.Empty(t, d.runner.Violations())
+		require.Empty(t, d.ledger.broken())
 	})
 	return d
 }
--- a/internal/workflow/gateway/handover_test.go
+++ b/internal/workflow/gateway/handover_test.go
@@ -99,6 +99,16 @@
 	return sum
 }
 
+// accepted counts what the present owners have accepted.
+func (d *deployment) accepted() int64 {
+	sum := int64(0)
+	for _, host := range d.hosts {
+		counts, _ := host.Counts()
+		sum += counts.Accepted
+	}
+	return sum
+}
+
 // TestNoMoveToAFullCell has all cells full, and one workflow wait at its home. Seen: a lasting
 // workflow waited for good in a full cell while others had room. Its home had looked for room
 // just after the owners of those had changed, so that nothing was known of them; a full cell in
@@ -122,3 +132,25 @@
 	}, 10*time.Second, 10*time.Millisecond)
 	require.Eventually(t, func() bool { return d.runner.Lasting() == (cells-1)*perCell+waiting }, 10*time.Second, 10*time.Millisecond, "it begins")
 }
+
+// TestHandedOverWorkflowIsKeptByOneCell has a workflow wait at its home, and room elsewhere. It is
+// accepted by its home and, once it is handed over, by the other cell, also in the counts; at no
+// time do both keep it, also if it is handed in again.
+func TestHandedOverWorkflowIsKeptByOneCell(t *testing.T) {
+	referral := &lateReferral{}
+	d := deployWith(t, cells, referral)
+	d.settled()
+	const fills, waits = 32, 3
+	filling, waiting := lastingAt(0, "fills", fills), lastingAt(0, "waits", waits)
+	d.submit(0, filling)
+	require.Eventually(t, func() bool { return d.runner.Lasting() == fills }, 10*time.Second, 10*time.Millisecond)
+	d.submit(1, waiting)
+	require.EqualValues(t, 2, d.accepted(), "each is accepted by its home")
+	referral.open.Store(true)
+	require.Eventually(t, func() bool { return d.runner.Lasting() == fills+waits }, 10*time.Second, 10*time.Millisecond, "it finds room")
+	d.submit(2, waiting)
+	require.EqualValues(t, 1, d.handedOver())
+	require.EqualValues(t, 3, d.accepted(), "the other cell has accepted it as well")
+	d.keptByOne(waiting.ID)
+	require.Len(t, d.ledger.account(waiting.ID).keepers, 2)
+}
