A loss with a life that leaves counts if the task may have just begun there

What callers saw: nothing yet; found in review. A task that crashes its workers is started a sixth time after five crashes and on without bound, where each life that it ends has said that it leaves.

Cause: such a loss counted only if the run was known to have begun at most 300 ms before the worker's silence. It isn't known to an owner that never heard the life, nor where the life held the start back; and a start that went out after a look had failed began later than the silence.

Ruled out: runs that were listed or acknowledged longer before the end count for nothing, as before.

Change: a run that no answer has told of may have begun at any time, and one that began after the silence began just before the end. The loss is still without blame where the life leaves.

Why it holds: what a leaving life is spared for is now only what an answer has shown to run longer.

--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -153,12 +153,23 @@
 	return prompt
 }
 
+// mayHaveJustBegun reports whether the run may have begun just before an instant, or later. One that
+// no answer has told of may have begun at any time: the life may have held its start back, and an
+// owner before may have sent it.
+func (r *run) mayHaveJustBegun(at cottonlanding.Millis) bool {
+	if r.phase == sent {
+		return true
+	}
+	began, known := r.began()
+	return known && r.mayHaveBegun() && at-began <= just
+}
+
 // lostSoon returns those of the runs of a worker whose loss counts for their tasks: they began soon
-// before its life ended, or just before if that life was about to end anyway.
+// before its life ended, or may have begun just before if that life was about to end anyway.
 func lostSoon(w *worker, runs []*run, at cottonlanding.Millis) []*run {
 	var lost []*run
 	for _, r := range runs {
-		if r.beganJustBefore(at) || r.beganSoonBefore(at) && !w.departsWith(r) {
+		if r.mayHaveJustBegun(at) || r.beganSoonBefore(at) && !w.departsWith(r) {
 			lost = append(lost, r)
 		}
 	}
--- /dev/null
+++ b/internal/workflow/planner/blameleaving_test.go
@@ -0,0 +1,100 @@
+package planner_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// A life that was known to leave counts for the loss of a task if the task had just begun there. Where
+// the owner can't know when the task began, it may have been just before: the owner came later, the
+// life held the start back, or the start went out after a look had got no answer. In each of
+// these ways a task that crashes its workers was started without bound. The tests end the first
+// worker's life, which has said that it leaves, time after time.
+
+// calmTurns let a worker that is back answer, and have old runs ruled out; nothing is committed.
+const calmTurns = 30
+
+// calm lets what is to be ruled out be so, without a new start.
+func (w *world) calm() {
+	for range calmTurns {
+		w.now += turnSpan
+		w.orders(func() string { return "" })
+		w.lookAll()
+	}
+}
+
+// leaveAndReturn has the first worker's life, which has said that it leaves, be followed by another.
+func (w *world) leaveAndReturn() {
+	w.now += promptCrash
+	require.NotEmpty(w.t, w.runner.TakeCrashed())
+	w.rebirth(0)
+	w.now += cottonlanding.Second
+	w.look("w1", true) // before the entry of the next life is read
+	w.setState(cottonlanding.Live)
+	w.calm()
+}
+
+func TestLossOfALifeThatLeavesCountsForTheNextOwner(t *testing.T) {
+	w := newCulprit(t)
+	for range crashLosses {
+		w.commit()
+		w.orders(func() string { return "" })
+		w.setState(cottonlanding.Leaving)
+		w.takeOver()
+		if w.final("culprit") {
+			break
+		}
+		w.leaveAndReturn()
+	}
+	w.requireGivenUp()
+}
+
+func TestStartAfterAFailedLookCounts(t *testing.T) {
+	w := newCulprit(t)
+	for range crashLosses {
+		w.commit()
+		orders := w.cell.Orders(w.now)
+		w.look("w1", false)
+		for _, order := range orders { // they have waited behind others
+			w.now += promptCrash
+			order.SentAt = w.now
+			reading, err := w.send(order)
+			w.cell.Ordered(order, reading, err, w.now)
+		}
+		w.setState(cottonlanding.Leaving)
+		if w.final("culprit") {
+			break
+		}
+		w.leaveAndReturn()
+	}
+	w.requireGivenUp()
+}
+
+func TestStartThatALeavingLifeHeldBackCounts(t *testing.T) {
+	w := newCulprit(t)
+	for range crashLosses {
+		w.commit()
+		w.orders(func() string { return "late" })
+		w.setState(cottonlanding.Leaving)
+		w.now += cottonlanding.Second
+		w.lookAll()
+		for _, order := range w.late {
+			_, _ = w.send(order)
+		}
+		w.late = nil
+		if w.final("culprit") {
+			break
+		}
+		w.leaveAndReturn()
+	}
+	w.requireGivenUp()
+}
+
+// final reports whether a workflow has ended.
+func (w *world) final(id cottonlanding.WorkflowID) bool {
+	state, _ := w.cell.State(id)
+	return state.Final()
+}
