The entry of a next life that leaves takes no alibi away

What callers saw: nothing yet; found in review. Where all workers crash at once for a cause of their own and are back under their ids, leaving at first, an accepted workflow without a culprit is given up at the second such crash.

Cause: whether a silence counts as an outage, and a worker as one that might have fallen silent, asked `departs`, which read the state of an entry that is of the next life by then. Blame itself asks by the run's life since the mend before, so that the crash was blamed while its alibi was left out.

Ruled out: the order of the answers; the same test with lives that are back live was green before.

Change: a worker departs only if its entry is of the life that answers.

Why it holds: `described` compares the births of the entry and of the answers; without births nothing changes.

--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -87,9 +87,9 @@
 	c.outages = slices.DeleteFunc(c.outages, func(o outage) bool { return o.worker == w })
 }
 
-// departs reports whether the end of the worker's life is no surprise: it has said so, or
-// it served on after its entry had gone.
-func (w *worker) departs() bool { return w.leaving() || w.unlistedAlive }
+// departs reports whether the end of the life that answers is no surprise: its entry has said so, which
+// may be of a later life by now, or it served on after its entry had gone.
+func (w *worker) departs() bool { return w.leaving() && w.described() || w.unlistedAlive }
 
 // departsWith reports whether that is true of the life on which a run was placed. The entry may be
 // of a later life by now, and so may the worker's answers.
