A start that is refused after its run was given up takes the loss back

What callers saw: nothing yet; found in review. An accepted workflow without a culprit is given up after two starts, neither of which any worker has begun.

Cause: a life that is over is told by the answer to a look or to a start, whichever comes first. Only the latter kept the run from being charged. After a look the run was charged as one that had begun just before the end, and nobody took that back when its start was refused.

Ruled out: a start of which an earlier copy got no answer may have begun and stays charged (tested).

Change: the answer that the only copy of a start had no effect takes back what its loss has counted.

Why it holds: a run that was never acknowledged or listed, nor sent in a copy without an answer, has begun nowhere once its last copy is known to have done nothing.

--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 
@@ -221,7 +222,7 @@
 // lease that ran out may prove to have been a cut.
 func (c *Cell) charge(r *run, why loss, suspect cottonlanding.SuspectView) cottonlanding.SuspectView {
 	t := r.task
-	r.charged = true
+	r.charged, r.suspected = true, suspect.Suspect
 	t.crashes.Losses++
 	if suspect.Suspect {
 		t.crashes.Crashes++
@@ -238,20 +239,44 @@
 // again: it was cut off and has not crashed. Another life proves nothing for the one before.
 func (c *Cell) refund(w *worker) {
 	for _, paid := range w.charged {
-		t := paid.task
-		if paid.born.IsOtherThan(w.born) || t.crashes.Losses == 0 || t.job.state.Final() {
-			continue // or it was cleared since
+		if !paid.born.IsOtherThan(w.born) {
+			c.takeBackLoss(paid.task, paid.suspect, w)
 		}
-		t.crashes.Losses--
-		if paid.suspect && t.crashes.Crashes > 0 {
-			t.crashes.Crashes--
-		}
-		c.touch(t.job)
-		c.log.Info("loss taken back", "Task", t.ref.String(), "Worker", w.info.ID, "Losses", t.crashes.Losses, "Crashes", t.crashes.Crashes)
 	}
 	w.charged = nil
 }
 
+// takeBackLoss takes back what one loss has counted against a task, unless it was cleared since.
+func (c *Cell) takeBackLoss(t *task, suspect bool, w *worker) {
+	if t.crashes.Losses == 0 || t.job.state.Final() {
+		return
+	}
+	t.crashes.Losses--
+	if suspect && t.crashes.Crashes > 0 {
+		t.crashes.Crashes--
+	}
+	c.touch(t.job)
+	c.log.Info("loss taken back", "Task", t.ref.String(), "Worker", w.info.ID, "Losses", t.crashes.Losses, "Crashes", t.crashes.Crashes)
+}
+
+// absolve takes back the loss of a run whose only start is known by now to have had no effect: the
+// worker's life was over before it could take it. Looks and orders go over connections of their
+// own, so that the run may have been given up before.
+func (c *Cell) absolve(order Order, err error) {
+	r := order.run
+	if order.Verb != VerbStart || r == nil || !r.charged || r.doubtful || r.ackedAt > 0 || !hadNoEffect(err) {
+		return
+	}
+	r.charged = false
+	r.worker.charged = slices.DeleteFunc(r.worker.charged, func(paid charge) bool { return paid.task == r.task })
+	c.takeBackLoss(r.task, r.suspected, r.worker)
+}
+
+// hadNoEffect reports whether the answer to a start says that it has begun nothing, then or before.
+func hadNoEffect(err error) bool {
+	return err != nil && !errors.Is(err, cottonlanding.ErrAmbiguous) && !errors.Is(err, cottonlanding.ErrConflict)
+}
+
 // giveUp fails the workflows of tasks that crash their workers.
 func (c *Cell) giveUp(convicted []*task, now cottonlanding.Millis) {
 	for _, t := range convicted {
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -152,6 +152,7 @@
 
 // Ordered takes in what became of an order.
 func (c *Cell) Ordered(order Order, reading cottonlanding.Reading, err error, now cottonlanding.Millis) {
+	c.absolve(order, err)
 	w := c.workers[order.Worker.Life.Worker]
 	if w == nil {
 		return
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -61,8 +61,9 @@
 	// birth, as the task's row has it.
 	life *worker
 	born cottonlanding.Birth
-	// charged says that its loss has counted against its task.
-	charged bool
+	// charged says that its loss has counted against its task, suspected that it did as a crash.
+	charged   bool
+	suspected bool
 
 	// sentAt is when the last start went out: which of those without an answer began the run is
 	// not known.
