serve: only the end of the life on which a task was placed counts as its loss

What callers saw: nothing yet; found in review. A job was failed whose task no worker had begun, and no worker had crashed, after five changes of owner between a placement and its start.

Cause: an owner that has just come knows no life of any worker, so that the first one it met was another life to it, and a run that was missing there counted as lost with the end of a life.

Ruled out: not counting at all for an owner that has met no life; a task that crashes its workers would then be started without bound where owners change (the second test).

Change: a task's row has the incarnation on which it was placed, and a loss counts if another one answers. Rows without it count as before.

Measured: the first test failed the job before and passes now; the second passes before and after. Tests of placement, coordination and the root package pass.

Why it holds: the incarnation is committed with the attempt, before any start of it goes out.

--- a/internal/placement/scheduler/decide.go
+++ b/internal/placement/scheduler/decide.go
@@ -317,7 +317,7 @@
 	w := pass.workers[at]
 	t.State = cottonlanding.TaskAssigned
 	t.Attempt++
-	t.Worker, t.WorkerAddress = w.info.ID, w.info.Address
+	t.Worker, t.WorkerAddress, t.Incarnation = w.info.ID, w.info.Address, w.incarnation
 	t.roomOn = ""
 	delete(c.queue, t.ID)
 	c.dirtyTasks[t.ID] = t
--- a/internal/placement/scheduler/job.go
+++ b/internal/placement/scheduler/job.go
@@ -135,7 +135,7 @@
 // requeue closes the present attempt and makes the task ready again.
 func (c *Cell) requeue(t *task, now, delay cottonlanding.Millis) {
 	t.State = cottonlanding.TaskQueued
-	t.Worker, t.WorkerAddress = "", ""
+	t.Worker, t.WorkerAddress, t.Incarnation = "", "", ""
 	t.queued, t.notBefore = now, now+delay
 	t.evicting = false
 	t.roomOn = ""
--- /dev/null
+++ b/internal/placement/scheduler/lostowners_test.go
@@ -0,0 +1,58 @@
+package scheduler_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// A job was failed whose task no worker had ever begun, and no worker had crashed: each owner was replaced
+// between the commit that placed the task and its start. To the next owner the life that it met
+// first was another one than it had known, which was none, and the missing run counted as lost with the life.
+func TestOwnerThatKnowsNoLifeCountsNone(t *testing.T) {
+	w := newWorld(t, 0, []int{0, 0})
+	w.run(2000)
+	w.accept(t, job("innocent", 1, 8, 60000))
+	for range 2 * mostStarts {
+		w.owner().cell.Decide(w.now)
+		w.commit(w.owner())
+		w.takeOver(t, true) // before the start goes out
+		for range 10 {
+			w.now += 200
+			w.visit(w.owner(), func() fate { return delivered })
+		}
+	}
+	w.run(2000)
+	status, _ := w.owner().cell.Job("innocent")
+	require.NotEqual(t, cottonlanding.JobFailed, status.Job.State)
+}
+
+// TestTaskWhoseWorkersCrashIsGivenUpByTheNextOwner is TestTaskWhoseWorkersCrashIsGivenUp with another owner
+// after each crash, which has never met the life that ended.
+func TestTaskWhoseWorkersCrashIsGivenUpByTheNextOwner(t *testing.T) {
+	w := newWorld(t, 0, []int{0, 0})
+	w.run(2000)
+	w.accept(t, job("crashes", 1, 8, 60000))
+	state, starts := w.restartsUnderOwners(t, "crashes", 0, 12)
+	require.Equal(t, cottonlanding.JobFailed, state)
+	require.LessOrEqual(t, starts, cottonlanding.Attempt(mostStarts))
+}
+
+// restartsUnderOwners is restartsOf with another owner after each restart.
+func (w *world) restartsUnderOwners(t *testing.T, name cottonlanding.JobName, ran cottonlanding.Millis, times int) (cottonlanding.JobState, cottonlanding.Attempt) {
+	for range times {
+		w.run(2000 + ran)
+		status, _ := w.owner().cell.Job(name)
+		for _, h := range w.hosts {
+			if h.Info().ID == status.Tasks[0].Worker {
+				h.Restart()
+			}
+		}
+		w.takeOver(t, false)
+	}
+	w.run(2000)
+	status, _ := w.owner().cell.Job(name)
+	return status.Job.State, status.Tasks[0].Attempt
+}
--- a/internal/placement/scheduler/round.go
+++ b/internal/placement/scheduler/round.go
@@ -341,7 +341,8 @@
 	}
 }
 
-// noteAbsent handles a run that the worker doesn't report.
+// noteAbsent handles a run that the worker doesn't report. To an owner that has just come each life is
+// another one; whether that on which the run was placed has ended is told by the task's row.
 func (c *Cell) noteAbsent(w *worker, r run, report Report, now cottonlanding.Millis) {
 	h, t := w.holds[r], c.tasks[r.task]
 	wanted := t != nil && t.desired(w.info.ID, r.attempt)
@@ -351,7 +352,7 @@
 		delete(w.holds, r)
 		if wanted {
 			c.counts.Lost++
-			c.loseRun(w, t, otherLife, now)
+			c.loseRun(w, t, otherLife && t.Incarnation != report.Inventory.Incarnation, now)
 		}
 	case !h.sent && !wanted:
 		delete(w.holds, r)
--- a/job.go
+++ b/job.go
@@ -72,7 +72,9 @@
 	Attempt       Attempt
 	Worker        WorkerID
 	WorkerAddress Address
-	Checkpoint    ObjectName
+	// Incarnation is the life of the worker on which the attempt was placed.
+	Incarnation Incarnation `json:",omitempty"`
+	Checkpoint  ObjectName
 	// FailedOn lists the worker of each failed attempt.
 	FailedOn []WorkerID
 	// Lost counts the lives of workers that ended soon after the task began there, since it
