serve: the next owner knows that a task's losses were cleared

What callers saw: nothing yet; found in review.

Cause: a run of ten seconds cleared the task's losses in memory and not in its row, so that each owner went on from the count of the one before.

Ruled out: that the next owner counts a loss whose run it has not seen is needed, or changes of owner would let a task crash workers without bound.

Change: what clears the losses has the row written.

Measured: the new test failed the job before; it and the tests of placement pass, three times each.

Why it holds: a task then has at most one loss that its last long run hasn't cleared.

--- a/internal/placement/scheduler/lostowners_test.go
+++ b/internal/placement/scheduler/lostowners_test.go
@@ -56,3 +56,15 @@
 	status, _ := w.owner().cell.Job(name)
 	return status.Job.State, status.Tasks[0].Attempt
 }
+
+// TestTaskThatOutlivesItsStartIsKeptByTheNextOwner is TestTaskThatOutlivesItsStartIsKept with another owner
+// after each restart. That the task had run for long cleared it in memory only, so that each
+// owner went on from the count of the one before, and failed the job at the fifth.
+func TestTaskThatOutlivesItsStartIsKeptByTheNextOwner(t *testing.T) {
+	w := newWorld(t, 0, []int{0, 0})
+	w.run(2000)
+	w.accept(t, job("lasts", 1, 8, 600000))
+	state, starts := w.restartsUnderOwners(t, "lasts", 12000, 12)
+	require.NotEqual(t, cottonlanding.JobFailed, state)
+	require.Greater(t, starts, cottonlanding.Attempt(mostStarts))
+}
--- a/internal/placement/scheduler/round.go
+++ b/internal/placement/scheduler/round.go
@@ -310,7 +310,7 @@
 		if t != nil && t.desired(w.info.ID, r.attempt) {
 			t.ran = taskRun.Ran + now - w.runsAt
 			if t.ran >= quickFailure {
-				t.Lost = 0
+				c.clearLost(t)
 			}
 		}
 		return
@@ -359,6 +359,14 @@
 	}
 }
 
+// clearLost forgets the losses of a task that has run for long, also for the next owner.
+func (c *Cell) clearLost(t *task) {
+	if t.Lost > 0 {
+		t.Lost = 0
+		c.dirtyTasks[t.ID] = t
+	}
+}
+
 // loseRun lets a task run again whose run was lost, unless the lives of several workers have
 // ended soon after it began there: a worker that crashes reports no failure.
 func (c *Cell) loseRun(w *worker, t *task, lifeEnded bool, now cottonlanding.Millis) {
