A loss that has counted does not count again under the next owner

What callers saw: nothing yet; found in review. Under the plain count a workflow was given up after two crashes from outside, each with a change of owner.

Cause: a run whose start may still come is lost with its life and then ruled out in the next one. Its row keeps the life on which it was placed, with the loss counted. An owner that came meanwhile lost it with that life once more.

Ruled out: naming the next life in the row instead; the next owner would then repeat the start there.

Change: the row says that the loss of the present run has counted. It is a ninth field, written only where it is set; older hosts pass over it.

Why it holds: the mark is committed with the count, and goes with the run.

--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -95,7 +95,7 @@
 		}
 		key := cottonlanding.RunKey{Task: t.ref, Number: t.number}
 		t.run = &run{RunKey: key, task: t, worker: w, life: w, born: t.life.Born, step: t.stage.Step, phase: sent, doubtful: true,
-			pace: pace, paceGoal: fullPace, placedAt: now, moved: now}
+			pace: pace, paceGoal: fullPace, placedAt: now, moved: now, charged: row.Charged}
 		w.addRun(t.run)
 		if t.job.state.Final() {
 			c.stop(t.run, "the workflow ended", now)
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -64,14 +64,17 @@
 	Crashes int
 	// ResumeFrom is what the present run is started with, if that isn't Checkpoint.
 	ResumeFrom *cottonlanding.Checkpoint
+	// Charged says that the loss of the present run is in Losses already: it is being ruled out in
+	// the life after the one on which it was placed.
+	Charged bool
 	// startsRun says that the present run is started with Checkpoint. It isn't written.
 	startsRun bool
 }
 
 // MarshalJSON writes the fields in order.
 func (r taskRow) MarshalJSON() ([]byte, error) {
-	fields := []any{r.State, r.Number, r.Life.String(), r.Failures, r.Checkpoint, r.Losses, r.Crashes, r.ResumeFrom}
-	set := []bool{r.State != taskWaiting, r.Number > 0, r.Life.Worker != "", r.Failures > 0, r.Checkpoint != "", r.Losses > 0, r.Crashes > 0, r.ResumeFrom != nil}
+	fields := []any{r.State, r.Number, r.Life.String(), r.Failures, r.Checkpoint, r.Losses, r.Crashes, r.ResumeFrom, r.Charged}
+	set := []bool{r.State != taskWaiting, r.Number > 0, r.Life.Worker != "", r.Failures > 0, r.Checkpoint != "", r.Losses > 0, r.Crashes > 0, r.ResumeFrom != nil, r.Charged}
 	for len(set) > 0 && !set[len(set)-1] {
 		set = set[:len(set)-1]
 	}
@@ -80,7 +83,7 @@
 
 // UnmarshalJSON reads what MarshalJSON wrote.
 func (r *taskRow) UnmarshalJSON(data []byte) error {
-	fields := []any{&r.State, &r.Number, &r.Life, &r.Failures, &r.Checkpoint, &r.Losses, &r.Crashes, &r.ResumeFrom}
+	fields := []any{&r.State, &r.Number, &r.Life, &r.Failures, &r.Checkpoint, &r.Losses, &r.Crashes, &r.ResumeFrom, &r.Charged}
 	return json.Unmarshal(data, &fields)
 }
 
@@ -199,7 +202,7 @@
 		return row
 	}
 	j.eachTask(func(t *task) {
-		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.life, t.failures, t.checkpoint.text, t.crashes.Losses, t.crashes.Crashes, t.rowResumeFrom(), t.startsRun()})
+		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.life, t.failures, t.checkpoint.text, t.crashes.Losses, t.crashes.Crashes, t.rowResumeFrom(), t.run != nil && t.run.charged, t.startsRun()})
 	})
 	return row
 }
