A run that the next life has taken is known anew

What callers saw: nothing yet; found in review. Where the next life of a worker had taken a late copy of a start, its end soon after counted for nothing, the task was cleared of its losses within a second, and a sound run was stopped as one that stands still, with its worker under suspicion.

Cause: such a run became the new life's own with the instants, progress, pace and charge that it had in the life before.

Ruled out: runs that were not listed by the new life; they are lost or ruled out as before.

Change: what the new life lists begins anew there, and the row names that life.

Why it holds: the list that makes a run the life's own also tells its progress; nothing else is kept.

--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -50,7 +50,7 @@
 // began returns the instant by which the run has begun at the latest, if it did, and false
 // for one of an owner before that no look has listed.
 func (r *run) began() (cottonlanding.Millis, bool) {
-	if r.sentAt > 0 {
+	if r.sentAt > 0 && !r.retaken {
 		return r.sentAt, true
 	}
 	return r.ackedAt, r.ackedAt > 0
--- a/internal/workflow/planner/life.go
+++ b/internal/workflow/planner/life.go
@@ -138,6 +138,26 @@
 	r.worker.changed()
 }
 
+// adoptTaken makes a run that the present life lists that life's own: it took a copy of the start that
+// was meant for one before. When the run began there, what it has shown and at which pace tells
+// nothing of this life, nor that its loss with the one before has counted.
+func (c *Cell) adoptTaken(r *run) {
+	r.adopt()
+	r.retaken = true
+	r.phase, r.ackedAt = sent, 0
+	r.percent, r.tail, r.used = 0, 0, 0
+	r.overSince, r.figureAt, r.reaffirmAt = 0, 0, 0
+	r.charged, r.suspected = false, false
+	r.pace = fullPace
+	if r.step.Fills {
+		r.pace = unknownPace // a late copy of an order of pace may have reached it too
+	}
+	if t := r.task; t != nil && t.run == r {
+		t.life = r.worker.life()
+		c.touch(t.job)
+	}
+}
+
 // settleEarlier settles the runs that were placed on an earlier life of a worker, by what the
 // present one lists: those that it has taken are its own; of those of which a start may still
 // reach it, or has since its list was made, the task waits until it has ruled them out; all
@@ -148,7 +168,9 @@
 	for _, r := range w.runs.snapshot() {
 		switch {
 		case !r.isEarlier():
-		case lists(report, r.RunKey), len(report.Ended) >= endsPerAnswer: // others may be left out
+		case lists(report, r.RunKey):
+			c.adoptTaken(r)
+		case len(report.Ended) >= endsPerAnswer: // others may be left out
 			r.adopt()
 		case r.phase < sent:
 			unsent = append(unsent, r)
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -61,6 +61,9 @@
 	// birth, as the task's row has it.
 	life *worker
 	born cottonlanding.Birth
+	// retaken says that another life than the one that was meant took the start, so that sentAt tells
+	// nothing of when the run began.
+	retaken bool
 	// charged says that its loss has counted against its task, suspected that it did as a crash.
 	charged   bool
 	suspected bool
