A loss that the task was cleared of is taken back no more

What callers saw: nothing yet; found in review. A worker that was cut off and heard again took away a loss that had nothing to do with it, so that a task that crashes its workers is started once more for each.

Cause: a charge for a lease that ran out was taken back without asking whether the task had been cleared of it since. Then the number that was lowered was that of later losses.

Change: a charge holds how often its task had been cleared, and is taken back only if that is still so.

Why it holds: charges are of one owner, and so is the count of clearings.

--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -38,6 +38,8 @@
 	task    *task
 	born    cottonlanding.Birth
 	suspect bool
+	// cleared is how often the task had been cleared by then.
+	cleared int
 }
 
 // outage is when a worker fell silent, and whether a run had begun there just before.
@@ -228,7 +230,7 @@
 		t.crashes.Crashes++
 	}
 	if why == lossByLapse {
-		r.worker.charged = append(r.worker.charged, charge{t, r.born, suspect.Suspect})
+		r.worker.charged = append(r.worker.charged, charge{t, r.born, suspect.Suspect, t.cleared})
 	}
 	c.touch(t.job)
 	suspect.Record = t.crashes
@@ -239,14 +241,14 @@
 // again: it was cut off and has not crashed. Another life proves nothing for the one before.
 func (c *Cell) refund(w *worker) {
 	for _, paid := range w.charged {
-		if !paid.born.IsOtherThan(w.born) {
+		if !paid.born.IsOtherThan(w.born) && paid.cleared == paid.task.cleared {
 			c.takeBackLoss(paid.task, paid.suspect, w)
 		}
 	}
 	w.charged = nil
 }
 
-// takeBackLoss takes back what one loss has counted against a task, unless it was cleared since.
+// takeBackLoss takes back what one loss has counted against a task.
 func (c *Cell) takeBackLoss(t *task, suspect bool, w *worker) {
 	if t.crashes.Losses == 0 || t.job.state.Final() {
 		return
@@ -301,6 +303,12 @@
 		return
 	}
 	c.log.Info("task cleared", "Task", t.ref.String(), "Run", r.Number, "Worker", r.worker.info.ID, "Losses", t.crashes.Losses, "Crashes", t.crashes.Crashes)
-	t.crashes = cottonlanding.CrashRecord{}
+	t.clearLosses()
 	c.touch(t.job)
 }
+
+// clearLosses forgets what is kept against the task. A loss from before is taken back no more.
+func (t *task) clearLosses() {
+	t.crashes = cottonlanding.CrashRecord{}
+	t.cleared++
+}
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -108,7 +108,7 @@
 	if t.state == taskDone {
 		return // an earlier run was done
 	}
-	t.crashes = cottonlanding.CrashRecord{} // its worker has outlived it
+	t.clearLosses() // its worker has outlived it
 	if t.stage.Lasting {
 		c.requeue(t, now)
 		return
