Merge: a loss counts once, whatever life or owner it falls to

The mark that the loss of the present run has counted is the sign of the number of losses instead of a ninth field: with the field the largest workflow's row had no room for its workers' ids. A reason is cut by what it takes in the row.

--- a/internal/placement/scheduler/round.go
+++ b/internal/placement/scheduler/round.go
@@ -310,7 +310,7 @@
 		if t != nil && t.desired(w.info.ID, r.attempt) {
 			t.ran = taskRun.Ran + now - w.runsAt
 			if t.ran >= quickFailure {
-				t.Lost = 0
+				c.clearLost(t)
 			}
 		}
 		return
@@ -341,7 +341,8 @@
 	}
 }
 
-// noteAbsent handles a run that the worker doesn't report.
+// noteAbsent handles a run that the worker doesn't report. To an owner that has just come each life is
+// another one; whether that on which the run was placed has ended is told by the task's row.
 func (c *Cell) noteAbsent(w *worker, r run, report Report, now cottonlanding.Millis) {
 	h, t := w.holds[r], c.tasks[r.task]
 	wanted := t != nil && t.desired(w.info.ID, r.attempt)
@@ -351,13 +352,21 @@
 		delete(w.holds, r)
 		if wanted {
 			c.counts.Lost++
-			c.loseRun(w, t, otherLife, now)
+			c.loseRun(w, t, otherLife && t.Incarnation != report.Inventory.Incarnation, now)
 		}
 	case !h.sent && !wanted:
 		delete(w.holds, r)
 	}
 }
 
+// clearLost forgets the losses of a task that has run for long, also for the next owner.
+func (c *Cell) clearLost(t *task) {
+	if t.Lost > 0 {
+		t.Lost = 0
+		c.dirtyTasks[t.ID] = t
+	}
+}
+
 // loseRun lets a task run again whose run was lost, unless the lives of several workers have
 // ended soon after it began there: a worker that crashes reports no failure.
 func (c *Cell) loseRun(w *worker, t *task, lifeEnded bool, now cottonlanding.Millis) {
--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 
@@ -37,6 +38,8 @@
 	task    *task
 	born    cottonlanding.Birth
 	suspect bool
+	// cleared is how often the task had been cleared by then.
+	cleared int
 }
 
 // outage is when a worker fell silent, and whether a run had begun there just before.
@@ -49,7 +52,7 @@
 // began returns the instant by which the run has begun at the latest, if it did, and false
 // for one of an owner before that no look has listed.
 func (r *run) began() (cottonlanding.Millis, bool) {
-	if r.sentAt > 0 {
+	if r.sentAt > 0 && !r.retaken {
 		return r.sentAt, true
 	}
 	return r.ackedAt, r.ackedAt > 0
@@ -87,9 +90,9 @@
 	c.outages = slices.DeleteFunc(c.outages, func(o outage) bool { return o.worker == w })
 }
 
-// departs reports whether the end of the worker's life is no surprise: it has said so, or
-// it served on after its entry had gone.
-func (w *worker) departs() bool { return w.leaving() || w.unlistedAlive }
+// departs reports whether the end of the life that answers is no surprise: its entry has said so, which
+// may be of a later life by now, or it served on after its entry had gone.
+func (w *worker) departs() bool { return w.leaving() && w.described() || w.unlistedAlive }
 
 // departsWith reports whether that is true of the life on which a run was placed. The entry may be
 // of a later life by now, and so may the worker's answers.
@@ -153,12 +156,23 @@
 	return prompt
 }
 
+// mayHaveJustBegun reports whether the run may have begun just before an instant, or later. One that
+// no answer has told of may have begun at any time: the life may have held its start back, and an
+// owner before may have sent it.
+func (r *run) mayHaveJustBegun(at cottonlanding.Millis) bool {
+	if r.phase == sent {
+		return true
+	}
+	began, known := r.began()
+	return known && r.mayHaveBegun() && at-began <= just
+}
+
 // lostSoon returns those of the runs of a worker whose loss counts for their tasks: they began soon
-// before its life ended, or just before if that life was about to end anyway.
+// before its life ended, or may have begun just before if that life was about to end anyway.
 func lostSoon(w *worker, runs []*run, at cottonlanding.Millis) []*run {
 	var lost []*run
 	for _, r := range runs {
-		if r.beganJustBefore(at) || r.beganSoonBefore(at) && !w.departsWith(r) {
+		if r.mayHaveJustBegun(at) || r.beganSoonBefore(at) && !w.departsWith(r) {
 			lost = append(lost, r)
 		}
 	}
@@ -210,13 +224,13 @@
 // lease that ran out may prove to have been a cut.
 func (c *Cell) charge(r *run, why loss, suspect cottonlanding.SuspectView) cottonlanding.SuspectView {
 	t := r.task
-	r.charged = true
+	r.charged, r.suspected = true, suspect.Suspect
 	t.crashes.Losses++
 	if suspect.Suspect {
 		t.crashes.Crashes++
 	}
 	if why == lossByLapse {
-		r.worker.charged = append(r.worker.charged, charge{t, r.born, suspect.Suspect})
+		r.worker.charged = append(r.worker.charged, charge{t, r.born, suspect.Suspect, t.cleared})
 	}
 	c.touch(t.job)
 	suspect.Record = t.crashes
@@ -227,20 +241,44 @@
 // again: it was cut off and has not crashed. Another life proves nothing for the one before.
 func (c *Cell) refund(w *worker) {
 	for _, paid := range w.charged {
-		t := paid.task
-		if paid.born.IsOtherThan(w.born) || t.crashes.Losses == 0 || t.job.state.Final() {
-			continue // or it was cleared since
-		}
-		t.crashes.Losses--
-		if paid.suspect && t.crashes.Crashes > 0 {
-			t.crashes.Crashes--
+		if !paid.born.IsOtherThan(w.born) && paid.cleared == paid.task.cleared {
+			c.takeBackLoss(paid.task, paid.suspect, w)
 		}
-		c.touch(t.job)
-		c.log.Info("loss taken back", "Task", t.ref.String(), "Worker", w.info.ID, "Losses", t.crashes.Losses, "Crashes", t.crashes.Crashes)
 	}
 	w.charged = nil
 }
 
+// takeBackLoss takes back what one loss has counted against a task.
+func (c *Cell) takeBackLoss(t *task, suspect bool, w *worker) {
+	if t.crashes.Losses == 0 || t.job.state.Final() {
+		return
+	}
+	t.crashes.Losses--
+	if suspect && t.crashes.Crashes > 0 {
+		t.crashes.Crashes--
+	}
+	c.touch(t.job)
+	c.log.Info("loss taken back", "Task", t.ref.String(), "Worker", w.info.ID, "Losses", t.crashes.Losses, "Crashes", t.crashes.Crashes)
+}
+
+// absolve takes back the loss of a run whose only start is known by now to have had no effect: the
+// worker's life was over before it could take it. Looks and orders go over connections of their
+// own, so that the run may have been given up before.
+func (c *Cell) absolve(order Order, err error) {
+	r := order.run
+	if order.Verb != VerbStart || r == nil || !r.charged || r.doubtful || r.ackedAt > 0 || !hadNoEffect(err) {
+		return
+	}
+	r.charged = false
+	r.worker.charged = slices.DeleteFunc(r.worker.charged, func(paid charge) bool { return paid.task == r.task })
+	c.takeBackLoss(r.task, r.suspected, r.worker)
+}
+
+// hadNoEffect reports whether the answer to a start says that it has begun nothing, then or before.
+func hadNoEffect(err error) bool {
+	return err != nil && !errors.Is(err, cottonlanding.ErrAmbiguous) && !errors.Is(err, cottonlanding.ErrConflict)
+}
+
 // giveUp fails the workflows of tasks that crash their workers.
 func (c *Cell) giveUp(convicted []*task, now cottonlanding.Millis) {
 	for _, t := range convicted {
@@ -265,6 +303,12 @@
 		return
 	}
 	c.log.Info("task cleared", "Task", t.ref.String(), "Run", r.Number, "Worker", r.worker.info.ID, "Losses", t.crashes.Losses, "Crashes", t.crashes.Crashes)
-	t.crashes = cottonlanding.CrashRecord{}
+	t.clearLosses()
 	c.touch(t.job)
 }
+
+// clearLosses forgets what is kept against the task. A loss from before is taken back no more.
+func (t *task) clearLosses() {
+	t.crashes = cottonlanding.CrashRecord{}
+	t.cleared++
+}
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -65,14 +65,21 @@
 	Crashes int
 	// ResumeFrom is what the present run is started with, if that isn't Checkpoint.
 	ResumeFrom *cottonlanding.Checkpoint
+	// Charged says that the loss of the present run is in Losses already: it is being ruled out in
+	// the life after the one on which it was placed.
+	Charged bool
 	// startsRun says that the present run is started with Checkpoint. It isn't written.
 	startsRun bool
 }
 
-// MarshalJSON writes the fields in order.
+// MarshalJSON writes the fields in order. Losses are negative if the present run's is among them.
 func (r taskRow) MarshalJSON() ([]byte, error) {
-	fields := []any{r.State, r.Number, r.Life.String(), r.Failures, r.Checkpoint, r.Losses, r.Crashes, r.ResumeFrom}
-	set := []bool{r.State != taskWaiting, r.Number > 0, r.Life.Worker != "", r.Failures > 0, r.Checkpoint != "", r.Losses > 0, r.Crashes > 0, r.ResumeFrom != nil}
+	losses := r.Losses
+	if r.Charged {
+		losses = -losses
+	}
+	fields := []any{r.State, r.Number, r.Life.String(), r.Failures, r.Checkpoint, losses, r.Crashes, r.ResumeFrom}
+	set := []bool{r.State != taskWaiting, r.Number > 0, r.Life.Worker != "", r.Failures > 0, r.Checkpoint != "", losses != 0, r.Crashes > 0, r.ResumeFrom != nil}
 	for len(set) > 0 && !set[len(set)-1] {
 		set = set[:len(set)-1]
 	}
@@ -82,7 +89,12 @@
 // UnmarshalJSON reads what MarshalJSON wrote.
 func (r *taskRow) UnmarshalJSON(data []byte) error {
 	fields := []any{&r.State, &r.Number, &r.Life, &r.Failures, &r.Checkpoint, &r.Losses, &r.Crashes, &r.ResumeFrom}
-	return json.Unmarshal(data, &fields)
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return err
+	}
+	r.Charged = r.Losses < 0
+	r.Losses = max(r.Losses, -r.Losses)
+	return nil
 }
 
 // Plan is what one transaction commits.
@@ -192,6 +204,22 @@
 	})
 }
 
+// row returns the task's state for its row.
+func (t *task) row() taskRow {
+	return taskRow{
+		State:      t.state,
+		Number:     t.number,
+		Life:       t.life,
+		Failures:   t.failures,
+		Checkpoint: t.checkpoint.text,
+		Losses:     t.crashes.Losses,
+		Crashes:    t.crashes.Crashes,
+		ResumeFrom: t.rowResumeFrom(),
+		Charged:    t.run != nil && t.run.charged,
+		startsRun:  t.startsRun(),
+	}
+}
+
 // row returns the job's state for its row. Of a job that has succeeded no tasks are kept; those
 // of one that failed or was cancelled may still run.
 func (j *job) row() stateRow {
@@ -205,7 +233,7 @@
 			row.Tasks = append(row.Tasks, taskRow{State: taskDone}) // nobody asks how
 			return
 		}
-		row.Tasks = append(row.Tasks, taskRow{t.state, t.number, t.life, t.failures, t.checkpoint.text, t.crashes.Losses, t.crashes.Crashes, t.rowResumeFrom(), t.startsRun()})
+		row.Tasks = append(row.Tasks, t.row())
 	})
 	return row
 }
--- a/internal/workflow/planner/rowsize.go
+++ b/internal/workflow/planner/rowsize.go
@@ -16,14 +16,14 @@
 
 const (
 	// headBytes is more than a state row takes beside its tasks.
-	headBytes = 2000
-	// maxReason is the longest reason in a row, in bytes, each of which takes six at most.
-	maxReason = 256
+	headBytes = 1000
+	// maxReason is what a reason takes in a row at most, in bytes.
+	maxReason = 700
 	// doneBytes is what a task takes that is done.
 	doneBytes = len(`["D"],`)
 	// waitingBytes is the most that any other takes but for the life of its worker: with the
 	// largest run number, mostFailures, and as many losses as a task can have that isn't given up.
-	waitingBytes = len(`["",4294967295,"",999,"",5,5],`)
+	waitingBytes = len(`["",4294967295,"",999,"",-5,5],`)
 	// mostFailures bounds the attempts of a task, so that they have three digits.
 	mostFailures = 999
 	// usualBytes is what is kept for each task of a round that isn't done, so that it can be
@@ -230,10 +230,11 @@
 
 // shortened returns a reason that a row can hold.
 func shortened(reason string) string {
-	if len(reason) <= maxReason {
-		return reason
+	for encodedBytes(reason) > maxReason {
+		excess := encodedBytes(reason) - maxReason
+		reason = strings.ToValidUTF8(reason[:len(reason)-max(1, excess/mostPerByte)], "")
 	}
-	return strings.ToValidUTF8(reason[:maxReason], "")
+	return reason
 }
 
 // roundCount counts the rounds of a state row. It is written as a number, or as a list with
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -61,8 +61,12 @@
 	// birth, as the task's row has it.
 	life *worker
 	born cottonlanding.Birth
-	// charged says that its loss has counted against its task.
-	charged bool
+	// retaken says that another life than the one that was meant took the start, so that sentAt tells
+	// nothing of when the run began.
+	retaken bool
+	// charged says that its loss has counted against its task, suspected that it did as a crash.
+	charged   bool
+	suspected bool
 
 	// sentAt is when the last start went out: which of those without an answer began the run is
 	// not known.
