The stand-in's runs that crash their workers are never done

Cause: the stand-in asked its clock once for crashes and once more for ends, and the crash lay between.

Ruled out: the hosts; the worker's list had the run as done, 259 ms after its placement.

Change: one reading for both.

Why it holds: at any one instant a run that is over has crashed its worker.

--- a/internal/stand/runner/crashes.go
+++ b/internal/stand/runner/crashes.go
@@ -41,10 +41,10 @@
 	return r.crashes[task]
 }
 
-// crashIfDue ends a life that one of its runs has crashed by now.
-func (r *Runner) crashIfDue(w *worker) {
+// crashIfDue ends a life that one of its runs has crashed by an instant.
+func (r *Runner) crashIfDue(w *worker, now cottonlanding.Millis) {
 	for key, run := range w.runs {
-		if !run.fate.Crashes || r.clock.Now() < run.ends() {
+		if !run.fate.Crashes || now < run.ends() {
 			continue
 		}
 		delete(r.workers, w.id)
--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -182,8 +182,8 @@
 
 // advance ends what has ended by now.
 func (r *Runner) advance(w *worker) {
-	r.crashIfDue(w)
 	now := r.clock.Now()
+	r.crashIfDue(w, now)
 	if r.reading(w) >= w.lease {
 		w.lapsedAt = now
 	}
