--- a/internal/placement/scheduler/lost_test.go
+++ b/internal/placement/scheduler/lost_test.go
@@ -14,6 +14,11 @@
 // restartsOf ends the life of the task's worker each time that it has run for a span, up to
 // a number of times, and returns the job's state and how often the task was started.
 func (w *world) restartsOf(name cottonlanding.JobName, ran cottonlanding.Millis, times int) (cottonlanding.JobState, cottonlanding.Attempt) {
+	return w.restartsThen(name, ran, times, func() {})
+}
+
+// restartsThen is restartsOf with something more done after each restart.
+func (w *world) restartsThen(name cottonlanding.JobName, ran cottonlanding.Millis, times int, then func()) (cottonlanding.JobState, cottonlanding.Attempt) {
 	for range times {
 		w.run(2000 + ran)
 		status, _ := w.owner().cell.Job(name)
@@ -22,6 +27,7 @@
 				h.Restart()
 			}
 		}
+		then()
 	}
 	w.run(2000)
 	status, _ := w.owner().cell.Job(name)
--- a/internal/placement/scheduler/lostowners_test.go
+++ b/internal/placement/scheduler/lostowners_test.go
@@ -42,19 +42,7 @@
 
 // restartsUnderOwners is restartsOf with another owner after each restart.
 func (w *world) restartsUnderOwners(t *testing.T, name cottonlanding.JobName, ran cottonlanding.Millis, times int) (cottonlanding.JobState, cottonlanding.Attempt) {
-	for range times {
-		w.run(2000 + ran)
-		status, _ := w.owner().cell.Job(name)
-		for _, h := range w.hosts {
-			if h.Info().ID == status.Tasks[0].Worker {
-				h.Restart()
-			}
-		}
-		w.takeOver(t, false)
-	}
-	w.run(2000)
-	status, _ := w.owner().cell.Job(name)
-	return status.Job.State, status.Tasks[0].Attempt
+	return w.restartsThen(name, ran, times, func() { w.takeOver(t, false) })
 }
 
 // TestTaskThatOutlivesItsStartIsKeptByTheNextOwner is TestTaskThatOutlivesItsStartIsKept with another owner
--- a/internal/workflow/planner/blamedlives_test.go
+++ b/internal/workflow/planner/blamedlives_test.go
@@ -81,14 +81,19 @@
 		w.crashFirst()
 		w.setState(cottonlanding.Leaving)
 		w.look("w1", true) // its connection breaks
-		w.rebirth(0)
-		w.now += cottonlanding.Second
-		w.look("w1", true) // before the entry of the next life is read
-		w.setState(cottonlanding.Live)
+		w.hearNextLife()
 	}
 	w.requireGivenUp()
 }
 
+// hearNextLife has the first worker be back after a second, and answer before its entry is read.
+func (w *world) hearNextLife() {
+	w.rebirth(0)
+	w.now += cottonlanding.Second
+	w.look("w1", true)
+	w.setState(cottonlanding.Live)
+}
+
 func TestLapseIsNotTakenBackByAnotherLife(t *testing.T) {
 	w := newCulprit(t)
 	for range crashLosses {
--- a/internal/workflow/planner/blameleaving_test.go
+++ b/internal/workflow/planner/blameleaving_test.go
@@ -30,10 +30,7 @@
 func (w *world) leaveAndReturn() {
 	w.now += promptCrash
 	require.NotEmpty(w.t, w.runner.TakeCrashed())
-	w.rebirth(0)
-	w.now += cottonlanding.Second
-	w.look("w1", true) // before the entry of the next life is read
-	w.setState(cottonlanding.Live)
+	w.hearNextLife()
 	w.calm()
 }
 
--- a/internal/workflow/planner/blamerefused_test.go
+++ b/internal/workflow/planner/blamerefused_test.go
@@ -6,30 +6,24 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
 // TestRefusedStartIsNoCauseAfterALook is TestRefusedStartIsNoCause where a look is answered by the other
 // life before the start is: the two go over connections of their own. The start was charged at the
 // look, as one that had just begun, and nobody took that back when it was refused.
 func TestRefusedStartIsNoCauseAfterALook(t *testing.T) {
-	w := bornWorld(t)
-	w.submit("innocent", "Urgent", quick(1))
-	for range len(w.workers) - 1 {
-		w.commit()
-		starts := w.cell.Orders(w.now)
-		require.Len(t, starts, 1)
-		starts[0].SentAt = w.now
-		w.now++
-		look, found := w.cell.NextLook(starts[0].Worker.Life.Worker, w.now)
-		require.True(t, found)
-		w.cell.LookFailed(look, cottonlanding.ErrOtherLife, w.now)
+	requireNoCause(t, func(w *world, start planner.Order) {
+		w.lookAtOtherLife(start)
 		w.now++
-		w.cell.Ordered(starts[0], 0, cottonlanding.ErrOtherLife, w.now)
-		require.Zero(t, w.cell.Counts().Convicted)
-	}
-	w.play(3 * cottonlanding.Second)
-	w.requireState("innocent", cottonlanding.WorkflowSucceeded)
-	require.Empty(t, w.runner.Violations())
+	})
+}
+
+// lookAtOtherLife has another life answer a look that was meant for the one to which a start was given.
+func (w *world) lookAtOtherLife(start planner.Order) {
+	look, found := w.cell.NextLook(start.Worker.Life.Worker, w.now)
+	require.True(w.t, found)
+	w.cell.LookFailed(look, cottonlanding.ErrOtherLife, w.now)
 }
 
 // TestStartThatWasTakenIsACause: only a start that surely had no effect is no cause. A copy of one that
@@ -46,9 +40,7 @@
 	second := w.cell.Orders(w.now)
 	require.Len(t, second, 1)
 	second[0].SentAt = w.now
-	look, found := w.cell.NextLook(second[0].Worker.Life.Worker, w.now)
-	require.True(t, found)
-	w.cell.LookFailed(look, cottonlanding.ErrOtherLife, w.now)
+	w.lookAtOtherLife(second[0])
 	w.cell.Ordered(second[0], 0, cottonlanding.ErrOtherLife, w.now)
 	require.Contains(t, w.cell.Fingerprint(w.now), "{1 1}")
 }
--- a/internal/workflow/planner/crash_test.go
+++ b/internal/workflow/planner/crash_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
 const (
@@ -136,6 +137,12 @@
 // was a start, to which another life answered. The life that was meant was over before the
 // start went out, but a run that was sent just before its worker was lost is a suspect.
 func TestRefusedStartIsNoCause(t *testing.T) {
+	requireNoCause(t, func(*world, planner.Order) {})
+}
+
+// requireNoCause has all starts of an innocent task but the last be refused by other lives, after
+// something has come between each start and its answer.
+func requireNoCause(t *testing.T, between func(*world, planner.Order)) {
 	w := bornWorld(t)
 	w.submit("innocent", "Urgent", quick(1))
 	for range len(w.workers) - 1 {
@@ -144,6 +151,7 @@
 		require.Len(t, starts, 1)
 		starts[0].SentAt = w.now
 		w.now++
+		between(w, starts[0])
 		w.cell.Ordered(starts[0], 0, cottonlanding.ErrOtherLife, w.now)
 		require.Zero(t, w.cell.Counts().Convicted)
 	}
