--- a/internal/workflow/planner/due.go
+++ b/internal/workflow/planner/due.go
@@ -102,7 +102,7 @@
 // what the task needs.
 func (d dues) tight(t *task) bool {
 	room := d.rooms[t.job.queue.Service]
-	if room.capacity.Fits(several(littlePart, room.left)) {
+	if room.capacity.Fits(room.left.Times(littlePart)) {
 		return false
 	}
 	need := t.stage.Reserved()
@@ -111,7 +111,7 @@
 			need = need.Plus(other.stage.Reserved())
 		}
 	}
-	return !several(roomFactor, need).Fits(room.left)
+	return !need.Times(roomFactor).Fits(room.left)
 }
 
 // noteTaken takes in that a lasting task was given room.
@@ -122,12 +122,3 @@
 		d.rooms[t.job.queue.Service] = room
 	}
 }
-
-// several returns resources several times over.
-func several(times int, of cottonlanding.Resources) cottonlanding.Resources {
-	sum := cottonlanding.Resources{}
-	for range times {
-		sum = sum.Plus(of)
-	}
-	return sum
-}
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -148,11 +148,7 @@
 			sum = sum.Plus(c.room(w, now).free)
 		}
 	}
-	need := t.stage.Reserved()
-	for range roomFactor - 1 {
-		need = need.Plus(t.stage.Reserved())
-	}
-	return need.Fits(sum)
+	return t.stage.Reserved().Times(roomFactor).Fits(sum)
 }
 
 // kept reports whether the worker is kept: the task for which that is still waits,
--- a/units.go
+++ b/units.go
@@ -116,6 +116,11 @@
 	return r.CPU <= free.CPU && r.Memory <= free.Memory && r.Accelerators <= free.Accelerators
 }
 
+// Times returns r several times over.
+func (r Resources) Times(n int) Resources {
+	return Resources{CPU: Millicores(n) * r.CPU, Memory: Bytes(n) * r.Memory, Accelerators: Accelerators(n) * r.Accelerators}
+}
+
 // Max returns the larger of each field.
 func (r Resources) Max(o Resources) Resources {
 	return Resources{CPU: max(r.CPU, o.CPU), Memory: max(r.Memory, o.Memory), Accelerators: max(r.Accelerators, o.Accelerators)}
