--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -14,6 +14,7 @@
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/committer"
+	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
@@ -368,11 +369,4 @@
 	}
 }
 
-func (d *Driver) sleep(span cottonlanding.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-d.ctx.Done():
-	}
-}
+func (d *Driver) sleep(span cottonlanding.Millis) { pauser.Pause(d.ctx, span) }
