--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -130,6 +130,18 @@
 	return count
 }
 
+// RunsOn counts the runs that go on on a worker.
+func (r *Runner) RunsOn(id cottonlanding.WorkerID) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w := r.workers[id]
+	if w == nil {
+		return 0
+	}
+	r.advance(w)
+	return len(w.runs)
+}
+
 // Runs reports whether a task has a run that goes on.
 func (r *Runner) Runs(task cottonlanding.TaskRef) bool {
 	r.mu.Lock()
