Log: what a weighed loss rests on, and which losses an owner takes over

From the log nobody could tell whether a loss that counts against a task was a lease that ran out or an ended life, how long the task had surely run there, or where the counts came from after a change of owner. 'crash weighed' names the cause, the life, its last answer and for how long each run was seen; 'losses taken over' what a new owner has read. No decision changes.

--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -58,6 +58,16 @@
 	return r.ackedAt, r.ackedAt > 0
 }
 
+// seenFor returns how long the run was surely at work on its worker: from when it had begun at the latest
+// to when the worker last listed it.
+func (r *run) seenFor() cottonlanding.Millis {
+	began, known := r.began()
+	if !known {
+		return 0
+	}
+	return max(0, r.listedAt-began)
+}
+
 // mayHaveBegun reports whether the worker may run it, whatever it has answered.
 func (r *run) mayHaveBegun() bool { return r.phase >= sent }
 
@@ -202,13 +212,13 @@
 			Alone:   len(suspects) == 1,
 			Prompt:  r.beganJustBefore(at),
 		})
-		stories = append(stories, fmt.Sprintf("%s#%d losses %d crashes %d suspect %t", r.Task, r.Number,
+		stories = append(stories, fmt.Sprintf("%s#%d seen for %d losses %d crashes %d suspect %t", r.Task, r.Number, r.seenFor(),
 			suspect.Record.Losses, suspect.Record.Crashes, suspect.Suspect))
 		if suspect.Record.Losses >= mostLosses || c.policy.Blame.Convicts(suspect) {
 			convicted = append(convicted, r.task)
 		}
 	}
-	c.log.Warn("crash weighed", "Worker", w.info.ID, "Sure", crash.Sure, "Blamed", blamed, "Suspects", len(suspects), "Tasks", stories, "SilentFor", now-at,
+	c.log.Warn("crash weighed", "Worker", w.info.ID, "Born", w.life().Born, "Why", why, "LastAnswer", now-w.answered, "Sure", crash.Sure, "Blamed", blamed, "Suspects", len(suspects), "Tasks", stories, "SilentFor", now-at,
 		"Unprovoked", crash.Unprovoked, "Rack", crash.Rack, "RackSilent", crash.RackSilent, "Workers", crash.Workers, "Silent", crash.Silent)
 	return convicted
 }
--- a/internal/workflow/planner/life.go
+++ b/internal/workflow/planner/life.go
@@ -144,7 +144,7 @@
 func (c *Cell) adoptTaken(r *run) {
 	r.adopt()
 	r.retaken = true
-	r.phase, r.ackedAt = sent, 0
+	r.phase, r.ackedAt, r.listedAt = sent, 0, 0
 	r.percent, r.tail, r.used = 0, 0, 0
 	r.overSince, r.figureAt, r.reaffirmAt = 0, 0, 0
 	r.charged, r.suspected = false, false
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -33,6 +33,7 @@
 			return err
 		}
 	}
+	c.tellTakenOver()
 	return nil
 }
 
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -186,6 +186,7 @@
 	if p.Percent > r.percent || r.step.Lasting && p.Percent >= fullPercent {
 		r.moved = now
 	}
+	r.listedAt = now
 	r.percent = p.Percent
 	r.tail, r.used = p.Tail, p.Used
 	r.noteCheckpoint(p.Checkpoint, checkpointListed, now)
--- a/internal/workflow/planner/story.go
+++ b/internal/workflow/planner/story.go
@@ -102,3 +102,21 @@
 	c.log.Info("start continues from a checkpoint", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Checkpoint", from.text,
 		"How", from.how, "Of", from.run, "By", from.worker, "Before", now-from.at, "Repeated", r.doubtful)
 }
+
+// losersTold bounds how many tasks tellTakenOver names.
+const losersTold = 50
+
+// tellTakenOver logs which tasks have lost workers under the owners before, each with its counts.
+func (c *Cell) tellTakenOver() {
+	var losers []string
+	for _, j := range c.order {
+		j.eachTask(func(t *task) {
+			if t.crashes != (cottonlanding.CrashRecord{}) && len(losers) < losersTold {
+				losers = append(losers, fmt.Sprintf("%s#%d losses %d crashes %d", t.ref, t.number, t.crashes.Losses, t.crashes.Crashes))
+			}
+		})
+	}
+	if len(losers) > 0 {
+		c.log.Info("losses taken over", "Epoch", c.setup.Epoch, "Tasks", losers)
+	}
+}
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -71,8 +71,9 @@
 	// sentAt is when the last start went out: which of those without an answer began the run is
 	// not known.
 	sentAt cottonlanding.Millis
-	// ackedAt is when the worker said that it started the run.
-	ackedAt cottonlanding.Millis
+	// ackedAt is when the worker said that it started the run, listedAt when it last listed it.
+	ackedAt  cottonlanding.Millis
+	listedAt cottonlanding.Millis
 	// nextTry is when the next order for the run may be sent, ordered says that
 	// one is under way.
 	nextTry cottonlanding.Millis
