A task is held for the cause of a crash only where another life proves an end

What callers saw: a workflow shown as failed although no task of it had failed as often as its queue allows, and a lasting task of it that ran no more.

Cause: a verdict on the absence of an answer. A lease that ran out counted as a crash of the worker under the task; it was taken back only by the owner that had counted it, from memory. Five of them failed the workflow, of any kind of work, with all workers alive. Beside that, one worker that goes down and up by itself convicted whatever was at work there.

Ruled out: failures (lasting tasks have no bound), rows of other workflows.

Change: what a loss proves is one function, RunLoss.Finding. A lease that ran out proves nothing: the life is left open in the task's row, and the next answer of the worker settles it for whichever owner hears it. A run that was seen at work for longer than a culprit takes counts only if nothing else explains the end; that it was is in the row too. A worker that ends by itself, one whose young life no owner has seen begin, and the same worker twice prove no crash. The last start before the bound waits for a calm moment and for open lives. The stand-in now ends runs in order, so that histories repeat.

--- a/blame.go
+++ b/blame.go
@@ -2,18 +2,74 @@
 
 // CrashRecord is what is kept of a task about workers that were lost while they ran it.
 type CrashRecord struct {
-	// Losses counts the lives of workers that ended soon after the task began there, for
-	// whatever cause.
+	// Losses counts the lives of workers that ended and that the task may have ended.
 	Losses int
-	// Crashes counts those among them that the task may have ended.
+	// Crashes counts those among them of which the task is the likely cause.
 	Crashes int
 }
 
-// CrashView is what is known of the end of a worker's life.
+// RunLoss is what an owner knows of a run that was lost with a worker.
+type RunLoss struct {
+	// LifeEnded says that another life was seen in the place of the one that had the run. A lease
+	// that ran out says only that owner and worker didn't reach each other.
+	LifeEnded bool
+	// Met says that this owner had answers of the life, so that it knows when it fell silent.
+	Met bool
+	// Began says that the worker told that it had begun the run: a start without an answer may never
+	// have reached it.
+	Began bool
+	// Recent says that the run began soon before the end, or that it may have.
+	Recent bool
+	// Outlived says that the worker listed the run for longer than a task needs that crashes the
+	// worker as it starts.
+	Outlived bool
+	// StandsOut says that the run is one of the few that had just begun, or the only recent one.
+	StandsOut bool
+	// EndsAnyway says that the worker has ended lately without the task, or, for all that this owner
+	// knows, may have; or that it did so with the task, which the end of one worker twice doesn't prove.
+	EndsAnyway bool
+	// Young says that the life had not gone on for long.
+	Young bool
+	// Leaving says that the life was about to end anyway.
+	Leaving bool
+	// OuterCause says that the policy finds a cause that has nothing to do with the task.
+	OuterCause bool
+}
+
+// Finding is what the loss of a run says of its task.
+type Finding int
+
+// The findings, weakest first.
+const (
+	// NoProof says nothing against the task.
+	NoProof Finding = iota
+	// PossibleCrash means that the task may have crashed the worker, as may others.
+	PossibleCrash
+	// LikelyCrash means that nothing but the task is known that may have crashed the worker.
+	LikelyCrash
+)
+
+var findingNames = []string{"NoProof", "PossibleCrash", "LikelyCrash"}
+
+// String returns the finding's name.
+func (f Finding) String() string { return findingNames[f] }
+
+// Finding decides what the loss proves. One loss never convicts; a policy and a bound say how many do.
+func (l RunLoss) Finding() Finding {
+	unexplained := l.Met && !l.EndsAnyway && !l.Leaving && !l.OuterCause && !(l.Outlived && l.Young)
+	switch {
+	case !l.LifeEnded || !l.Recent:
+		return NoProof
+	case unexplained && l.Began && l.StandsOut:
+		return LikelyCrash
+	case unexplained || !l.Outlived:
+		return PossibleCrash
+	}
+	return NoProof // it was at work there, and the worker had another reason to end
+}
+
+// CrashView is what is known of others at the end of a worker's life.
 type CrashView struct {
-	// Sure says that the worker crashed under this owner: it had answered, and another life
-	// has come in its place. Else it may go on behind a cut, or nobody knows when it crashed.
-	Sure bool
 	// Unprovoked counts the other workers that fell silent at the same time although they
 	// had begun nothing just before.
 	Unprovoked int
@@ -27,20 +83,21 @@
 type SuspectView struct {
 	// Record has this loss in it.
 	Record CrashRecord
-	// Suspect says that the run had begun just before the worker's end, or alone soon before,
-	// and that the policy blames the tasks there.
-	Suspect bool
+	// Finding is what this loss proves.
+	Finding Finding
 	// Alone says that no other run there is a suspect.
 	Alone bool
 	// Prompt says that the run had begun just before.
 	Prompt bool
+	// Crash is what is known of others at that time.
+	Crash CrashView
 }
 
 // BlamePolicy decides which tasks have ended the workers that crashed under them. Nobody
 // tells: a worker that crashes reports nothing, and takes all its runs along.
 type BlamePolicy interface {
-	// Blames reports whether the end of a life counts as a crash of the tasks that may have
-	// ended it.
+	// Blames reports whether the end of a life may count as a crash of the tasks there: no
+	// other cause is known for it.
 	Blames(crash CrashView) bool
 	// Convicts reports whether a task is given up after the loss of a worker.
 	Convicts(suspect SuspectView) bool
--- a/internal/policy/blamer/fair.go
+++ b/internal/policy/blamer/fair.go
@@ -12,13 +12,12 @@
 )
 
 // Fair is Apart, but for losses with an outer cause, which count against nobody: workers
-// without a culprit fall silent at the same time, a whole rack does, or half of all do; nor
-// does a silence that may be a cut.
+// without a culprit fall silent at the same time, a whole rack does, or half of all do.
 type Fair struct{ Apart }
 
 // Blames implements cottonlanding.BlamePolicy.
 func (Fair) Blames(crash cottonlanding.CrashView) bool {
 	rackLost := crash.Rack > 0 && 4*crash.RackSilent >= 3*crash.Rack
 	mostSilent := crash.Silent >= leastSilent && 2*crash.Silent >= crash.Workers
-	return crash.Sure && crash.Unprovoked < unprovokedCrashes && !rackLost && !mostSilent
+	return crash.Unprovoked < unprovokedCrashes && !rackLost && !mostSilent
 }
--- a/internal/stand/runner/crashes.go
+++ b/internal/stand/runner/crashes.go
@@ -18,9 +18,29 @@
 func (r *Runner) Crash(id cottonlanding.WorkerID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.endLife(id)
+}
+
+// endLife ends a life, if there is one, and notes under which tasks.
+func (r *Runner) endLife(id cottonlanding.WorkerID) {
+	w := r.workers[id]
+	if w == nil {
+		return
+	}
+	r.advance(w)
+	for key := range w.runs {
+		r.endsUnder[key.Task]++
+	}
 	delete(r.workers, id)
 }
 
+// EndsUnder counts the lives of workers that ended, for whatever cause, while they ran a task.
+func (r *Runner) EndsUnder(task cottonlanding.TaskRef) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.endsUnder[task]
+}
+
 // TakeCrashed returns the lives that their runs have ended since it was last called.
 func (r *Runner) TakeCrashed() []cottonlanding.WorkerID {
 	r.mu.Lock()
@@ -43,10 +63,14 @@
 
 // crashIfDue ends a life that one of its runs has crashed by an instant.
 func (r *Runner) crashIfDue(w *worker, now cottonlanding.Millis) {
-	for key, run := range w.runs {
+	for _, key := range w.keys() {
+		run := w.runs[key]
 		if !run.fate.Crashes || now < run.ends() {
 			continue
 		}
+		for other := range w.runs {
+			r.endsUnder[other.Task]++
+		}
 		delete(r.workers, w.id)
 		clear(w.runs)
 		r.crashed = append(r.crashed, w.id)
--- a/internal/stand/runner/lives.go
+++ b/internal/stand/runner/lives.go
@@ -16,6 +16,7 @@
 func (r *Runner) Rebirth(id cottonlanding.WorkerID, address cottonlanding.Address, born cottonlanding.Birth) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.endLife(id)
 	r.workers[id] = newWorker(id, address, 1-r.clock.Now(), born)
 }
 
--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -5,9 +5,12 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -31,7 +34,9 @@
 	// last of those that are allowed to happen.
 	crashes map[cottonlanding.TaskRef]int
 	after   map[cottonlanding.TaskRef]int
-	notes   notes
+	// endsUnder counts for each task the lives that ended while they ran it.
+	endsUnder map[cottonlanding.TaskRef]int
+	notes     notes
 
 	checkpoints checkpoints
 	// longestLease cuts the leases that workers take, unless it is zero.
@@ -64,7 +69,10 @@
 		workers: make(map[cottonlanding.WorkerID]*worker),
 		crashes: make(map[cottonlanding.TaskRef]int),
 		after:   make(map[cottonlanding.TaskRef]int),
-		notes:   newNotes(),
+
+		endsUnder: make(map[cottonlanding.TaskRef]int),
+
+		notes: newNotes(),
 
 		checkpoints: newCheckpoints(),
 	}
@@ -192,6 +200,15 @@
 	return cottonlanding.Reading(r.clock.Now() + w.offset)
 }
 
+// keys returns the runs that go on in order, so that a history repeats.
+func (w *worker) keys() []cottonlanding.RunKey {
+	return slices.SortedFunc(maps.Keys(w.runs), func(a, b cottonlanding.RunKey) int {
+		x, y := a.Task, b.Task
+		return cmp.Or(cmp.Compare(x.Workflow, y.Workflow), cmp.Compare(x.Round, y.Round), cmp.Compare(x.Step, y.Step),
+			cmp.Compare(x.Index, y.Index), cmp.Compare(a.Number, b.Number))
+	})
+}
+
 // advance ends what has ended by now.
 func (r *Runner) advance(w *worker) {
 	now := r.clock.Now()
@@ -199,7 +216,8 @@
 	if r.reading(w) >= w.lease {
 		w.lapsedAt = now
 	}
-	for key, run := range w.runs {
+	for _, key := range w.keys() {
+		run := w.runs[key]
 		ends := run.ends()
 		over := !run.fate.Forever && now >= ends
 		// A worker that nobody asked for long may find both at once: the first counts.
@@ -328,7 +346,8 @@
 	r.forgetSeen(w, look.Seen)
 	r.lend(w, look.LeaseUntil)
 	report := cottonlanding.RunReport{Born: w.born, Reading: r.reading(w)}
-	for key, run := range w.runs {
+	for _, key := range w.keys() {
+		run := w.runs[key]
 		text := r.checkpointOf(key, run, r.clock.Now(), false)
 		r.tell(w, key, text, "")
 		report.Running = append(report.Running, cottonlanding.RunProgress{RunKey: key, Percent: r.percent(run), Checkpoint: text})
--- a/internal/workflow/planner/apart.go
+++ b/internal/workflow/planner/apart.go
@@ -23,6 +23,11 @@
 	// nothing has just begun, at an instant at which none has just fallen silent. Nothing ever
 	// begins just after it: an innocent one must not share its last losses with a culprit.
 	calmPatience = 3 * cottonlanding.Second
+	// lastPatience is calmPatience for the last start before a task is given up.
+	lastPatience = 15 * cottonlanding.Second
+	// newsPatience is how long a task that has one loss left waits for what became of its last worker: a
+	// crashed one is back by then, one that is cut off may never be.
+	newsPatience = 15 * cottonlanding.Second
 	// apartShare is the part of the workers, as a divisor, that may be kept for tasks that
 	// run apart: a wave of suspects must not hold up all others.
 	apartShare = 4
@@ -36,6 +41,23 @@
 // hasFewLosses reports whether the task has few losses left before it is given up.
 func (t *task) hasFewLosses() bool { return t.crashes.Losses >= mostLosses-2 }
 
+// hasLastStart reports whether the task is given up if it is lost once more.
+func (t *task) hasLastStart() bool { return t.crashes.Losses >= mostLosses-1 }
+
+// patience returns how long the task waits for a calm worker at a calm instant.
+func (t *task) patience() cottonlanding.Millis {
+	if t.hasLastStart() {
+		return lastPatience
+	}
+	return calmPatience
+}
+
+// awaitsNews reports whether the task must not begin yet: it has one loss left, and what it has lost last may
+// be that.
+func (t *task) awaitsNews(now cottonlanding.Millis) bool {
+	return t.openLife.Worker != "" && t.hasLastStart() && now-t.since < newsPatience
+}
+
 // unrest reports whether workers fell silent just now: what has caused that may go on.
 func (c *Cell) unrest(now cottonlanding.Millis) bool {
 	return slices.ContainsFunc(c.outages, func(o outage) bool { return now-o.at < together })
@@ -45,11 +67,11 @@
 // that has begun there runs apart.
 func (c *Cell) keptApart(t *task, w *worker, now cottonlanding.Millis) bool {
 	switch {
-	case w.runsApart(now):
+	case w.runsApart(now), t.awaitsNews(now):
 		return true
 	case !c.apart(t, now):
 		return false
-	case now-t.since >= calmPatience: // where tasks begin all the time, it would wait for ever
+	case now-t.since >= t.patience(): // where tasks begin all the time, it would wait for ever
 	case w.beganAt > 0 && now-w.beganAt < apartFor, t.hasFewLosses() && c.unrest(now):
 		return true
 	}
--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -14,9 +14,8 @@
 // state that allows its next start: no owner, and no start without an answer, sets it back.
 
 const (
-	// mostLosses is how many lives of workers may end soon after a task began there, for
-	// whatever cause, before it is given up under every policy. Source: the rule that allows
-	// two starts after three crashes.
+	// mostLosses is how many lives of workers may end that a task may have ended before it is
+	// given up under every policy. Source: the rule that allows two starts after three crashes.
 	mostLosses = 5
 	// soon is how long a run must have lasted for the end of its worker to tell nothing of
 	// it, and for its task to be cleared of earlier losses.
@@ -28,20 +27,15 @@
 	// together is how far apart workers may fall silent for one outer cause: an owner's
 	// looks at busy workers last that long, and it notices a cut by the next one.
 	together = cottonlanding.Second
+	// steadyAfter is how long a worker must go on for the end of its life to speak against a task that
+	// was at work there. Each of its lives that ended by itself doubles it, endsWeighed of them at most.
+	steadyAfter = 10 * cottonlanding.Second
+	endsWeighed = 3
 	// outagesKept is how long it is kept when workers fell silent: longer than a life that
 	// has ended takes to be found out.
 	outagesKept = 15 * cottonlanding.Second
 )
 
-// charge is what the loss of a run with the life of its worker counts against a task.
-type charge struct {
-	task    *task
-	born    cottonlanding.Birth
-	suspect bool
-	// cleared is how often the task had been cleared by then.
-	cleared int
-}
-
 // outage is when a worker fell silent, and whether a run had begun there just before.
 type outage struct {
 	worker   *worker
@@ -68,6 +62,28 @@
 	return max(0, r.listedAt-began)
 }
 
+// noteOutlived notes that a run has gone on for longer than a task that crashes its worker does. It is
+// written for the next owner once that is true of all runs of a lasting step, or of a suspect.
+func (c *Cell) noteOutlived(r *run) {
+	if r.outlived || r.seenFor() < just {
+		return
+	}
+	r.outlived = true
+	if t := r.task; t != nil && t.run == r && (t.suspected() || r.step.Lasting && t.stage.allOutlived()) {
+		c.touch(t.job)
+	}
+}
+
+// allOutlived reports whether all runs of the step's tasks have gone on for that long.
+func (s *stage) allOutlived() bool {
+	return !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.run != nil && !t.run.outlived })
+}
+
+// suspected reports whether something is kept against the task.
+func (t *task) suspected() bool {
+	return t.crashes != (cottonlanding.CrashRecord{}) || t.openLife.Worker != ""
+}
+
 // mayHaveBegun reports whether the worker may run it, whatever it has answered.
 func (r *run) mayHaveBegun() bool { return r.phase >= sent }
 
@@ -91,8 +107,7 @@
 	if w.departs() || w.answered == 0 {
 		return // when that began is not known
 	}
-	provoked := slices.ContainsFunc(w.runs.all(), func(r *run) bool { return r.beganJustBefore(now) })
-	c.outages = append(c.outages, outage{w, now, provoked})
+	c.outages = append(c.outages, outage{w, now, w.provoked(now)})
 }
 
 // noteHeard notes that a worker gives answers again: its silence was a cut, or none.
@@ -189,7 +204,7 @@
 	return lost
 }
 
-// blame notes for each task that a worker ran what the end of its life tells of it, and
+// blame notes for each task that a worker ran what the loss of its run tells of it, and
 // returns those that are given up.
 func (c *Cell) blame(w *worker, runs []*run, why loss, now cottonlanding.Millis) []*task {
 	at := w.fellSilent(now)
@@ -199,76 +214,111 @@
 	}
 	suspects := suspectsAmong(lost, at)
 	crash := c.crashView(w, at)
-	crash.Sure = why != lossByLapse && w.answered > 0
-	blamed := c.policy.Blame.Blames(crash)
+	circumstances := cottonlanding.RunLoss{
+		LifeEnded:  why != lossByLapse,
+		Met:        w.answered > 0,
+		Recent:     true,
+		Young:      w.age(at) < steadyAfter,
+		OuterCause: !c.policy.Blame.Blames(crash),
+	}
 	var convicted []*task
 	var stories []string
 	for _, r := range lost {
 		if !r.chargeable() {
 			continue
 		}
-		suspect := c.charge(r, why, cottonlanding.SuspectView{
-			Suspect: blamed && !w.departsWith(r) && slices.Contains(suspects, r),
-			Alone:   len(suspects) == 1,
-			Prompt:  r.beganJustBefore(at),
-		})
-		stories = append(stories, fmt.Sprintf("%s#%d seen for %d losses %d crashes %d suspect %t", r.Task, r.Number, r.seenFor(),
-			suspect.Record.Losses, suspect.Record.Crashes, suspect.Suspect))
-		if suspect.Record.Losses >= mostLosses || c.policy.Blame.Convicts(suspect) {
+		runLoss := circumstances
+		runLoss.LifeEnded = runLoss.LifeEnded || r.isUntraceable()
+		runLoss.EndsAnyway = w.endsAnyway(at) || slices.Contains(w.suspectsBefore, r.task)
+		runLoss.Began = r.ackedAt > 0
+		runLoss.Outlived = r.outlived
+		runLoss.Leaving = w.departsWith(r)
+		runLoss.StandsOut = slices.Contains(suspects, r)
+		finding := runLoss.Finding()
+		if !runLoss.LifeEnded && !runLoss.Outlived {
+			c.leaveOpen(r.task, r.lifeRef())
+		}
+		if finding > cottonlanding.NoProof {
+			c.charge(r, finding)
+		}
+		stories = append(stories, fmt.Sprintf("%s#%d seen for %d %s losses %d crashes %d", r.Task, r.Number, r.seenFor(),
+			finding, r.task.crashes.Losses, r.task.crashes.Crashes))
+		suspect := cottonlanding.SuspectView{Record: r.task.crashes, Finding: finding, Alone: len(suspects) == 1, Prompt: r.beganJustBefore(at), Crash: crash}
+		if finding > cottonlanding.NoProof && c.convicts(suspect) {
 			convicted = append(convicted, r.task)
 		}
 	}
-	c.log.Warn("crash weighed", "Worker", w.info.ID, "Born", w.life().Born, "Why", why, "LastAnswer", now-w.answered, "Sure", crash.Sure, "Blamed", blamed, "Suspects", len(suspects), "Tasks", stories, "SilentFor", now-at,
+	c.log.Warn("crash weighed", "Worker", w.info.ID, "Born", w.life().Born, "Why", why, "LastAnswer", now-w.answered, "Ended", circumstances.LifeEnded, "Met", circumstances.Met,
+		"EndsAnyway", w.endsAnyway(at), "Age", w.age(at), "OuterCause", circumstances.OuterCause, "Suspects", len(suspects), "Tasks", stories, "SilentFor", now-at,
 		"Unprovoked", crash.Unprovoked, "Rack", crash.Rack, "RackSilent", crash.RackSilent, "Workers", crash.Workers, "Silent", crash.Silent)
 	return convicted
 }
 
-// chargeable reports whether the loss of the run counts for its task: it isn't done, nor its
-// workflow over, and the run has not been lost with an earlier life already.
-func (r *run) chargeable() bool {
-	t := r.task
-	return t != nil && t.run == r && !r.charged && t.state != taskDone && !t.job.state.Final()
+// convicts reports whether a task is given up after another loss.
+func (c *Cell) convicts(suspect cottonlanding.SuspectView) bool {
+	return suspect.Record.Losses >= mostLosses || c.policy.Blame.Convicts(suspect)
 }
 
-// charge counts a loss against a run's task, and returns the view with its record. Only a
-// lease that ran out may prove to have been a cut.
-func (c *Cell) charge(r *run, why loss, suspect cottonlanding.SuspectView) cottonlanding.SuspectView {
-	t := r.task
-	r.charged, r.suspected = true, suspect.Suspect
-	t.crashes.Losses++
-	if suspect.Suspect {
-		t.crashes.Crashes++
-	}
-	if why == lossByLapse {
-		r.worker.charged = append(r.worker.charged, charge{t, r.born, suspect.Suspect, t.cleared})
+// endsAnyway reports whether the worker has ended by itself lately, so that it may have done so again, or
+// may have under owners before, since its life is young.
+func (w *worker) endsAnyway(at cottonlanding.Millis) bool {
+	if w.endsSeen > 0 && at-w.endSeenAt < steadyAfter<<min(w.endsSeen, endsWeighed) {
+		return true
 	}
-	c.touch(t.job)
-	suspect.Record = t.crashes
-	return suspect
+	return w.born != 0 && !w.metBefore && w.age(at) < steadyAfter
 }
 
-// refund takes back what a worker's silence has counted against tasks of the life that answers
-// again: it was cut off and has not crashed. Another life proves nothing for the one before.
-func (c *Cell) refund(w *worker) {
-	for _, paid := range w.charged {
-		if !paid.born.IsOtherThan(w.born) && paid.cleared == paid.task.cleared {
-			c.takeBackLoss(paid.task, paid.suspect, w)
-		}
+// steady reports whether the worker has gone on for so long that its end would tell something.
+func (w *worker) steady(now cottonlanding.Millis) bool {
+	return !w.endsAnyway(now) && w.age(now) >= steadyAfter
+}
+
+// noteEndSeen takes over what is known of the lives before, the last of which has ended.
+func (w *worker) noteEndSeen(before *worker, now cottonlanding.Millis) {
+	w.endsSeen, w.endSeenAt, w.metBefore = before.endsSeen, before.endSeenAt, before.answered > 0
+	at := before.fellSilent(now)
+	for _, r := range suspectsAmong(before.runs.all(), at) {
+		w.suspectsBefore = append(w.suspectsBefore, r.task)
+	}
+	if !before.provoked(at) {
+		w.endsSeen++
+		w.endSeenAt = now
 	}
-	w.charged = nil
 }
 
-// takeBackLoss takes back what one loss has counted against a task.
-func (c *Cell) takeBackLoss(t *task, suspect bool, w *worker) {
-	if t.crashes.Losses == 0 || t.job.state.Final() {
-		return
+// provoked reports whether a run had begun just before an instant on the worker.
+func (w *worker) provoked(at cottonlanding.Millis) bool {
+	return slices.ContainsFunc(w.runs.all(), func(r *run) bool { return r.beganJustBefore(at) })
+}
+
+// age returns how long the life has gone on by an instant, at the least. A worker that tells births begins its
+// clock anew with each life, so that any owner knows.
+func (w *worker) age(at cottonlanding.Millis) cottonlanding.Millis {
+	if w.born != 0 && w.reading > 0 {
+		return cottonlanding.Millis(w.reading) + at - w.readAt
 	}
-	t.crashes.Losses--
-	if suspect && t.crashes.Crashes > 0 {
-		t.crashes.Crashes--
+	return at - w.knownSince
+}
+
+// isUntraceable reports whether nothing will ever tell what became of the run's life: it has no birth, and its
+// entry is gone. Such a life is taken for ended.
+func (r *run) isUntraceable() bool { return r.born == 0 && !r.worker.listed }
+
+// chargeable reports whether the loss of the run counts for its task: it isn't done, nor its
+// workflow over, and the run has not been lost with an earlier life already.
+func (r *run) chargeable() bool {
+	t := r.task
+	return t != nil && t.run == r && !r.charged && t.state != taskDone && !t.job.state.Final()
+}
+
+// charge counts a loss against a run's task.
+func (c *Cell) charge(r *run, finding cottonlanding.Finding) {
+	r.charged, r.suspected = true, finding == cottonlanding.LikelyCrash
+	r.task.crashes.Losses++
+	if r.suspected {
+		r.task.crashes.Crashes++
 	}
-	c.touch(t.job)
-	c.log.Info("loss taken back", "Task", t.ref.String(), "Worker", w.info.ID, "Losses", t.crashes.Losses, "Crashes", t.crashes.Crashes)
+	c.touch(r.task.job)
 }
 
 // absolve takes back the loss of a run whose only start is known by now to have had no effect: the
@@ -280,8 +330,16 @@
 		return
 	}
 	r.charged = false
-	r.worker.charged = slices.DeleteFunc(r.worker.charged, func(paid charge) bool { return paid.task == r.task })
-	c.takeBackLoss(r.task, r.suspected, r.worker)
+	t := r.task
+	if t.crashes.Losses == 0 || t.job.state.Final() {
+		return
+	}
+	t.crashes.Losses--
+	if r.suspected {
+		t.crashes.Crashes--
+	}
+	c.touch(t.job)
+	c.log.Info("loss taken back", "Task", t.ref.String(), "Worker", r.worker.info.ID, "Losses", t.crashes.Losses, "Crashes", t.crashes.Crashes)
 }
 
 // hadNoEffect reports whether the answer to a start says that it has begun nothing, then or before.
@@ -297,7 +355,7 @@
 		}
 		c.counts.Failed++
 		c.counts.Convicted++
-		reason := fmt.Sprintf("task %s was lost with %d workers that crashed soon after it began, and is taken for the cause of %d of these crashes",
+		reason := fmt.Sprintf("task %s was lost with %d workers that ended soon after it began, and is taken for the cause of %d of these ends",
 			t.ref, t.crashes.Losses, t.crashes.Crashes)
 		c.end(t.job, cottonlanding.WorkflowFailed, reason, now)
 	}
@@ -306,7 +364,7 @@
 // clear forgets what is kept against a task whose run has lasted long.
 func (c *Cell) clear(r *run, now cottonlanding.Millis) {
 	t := r.task
-	if t == nil || t.run != r || t.crashes == (cottonlanding.CrashRecord{}) {
+	if t == nil || t.run != r || !t.suspected() {
 		return
 	}
 	if r.ackedAt == 0 || now-r.ackedAt < soon {
@@ -317,8 +375,8 @@
 	c.touch(t.job)
 }
 
-// clearLosses forgets what is kept against the task. A loss from before is taken back no more.
+// clearLosses forgets what is kept against the task.
 func (t *task) clearLosses() {
 	t.crashes = cottonlanding.CrashRecord{}
-	t.cleared++
+	t.setOpenLife(cottonlanding.Life{})
 }
--- a/internal/workflow/planner/blamecuts_test.go
+++ b/internal/workflow/planner/blamecuts_test.go
@@ -146,3 +146,38 @@
 	}
 	require.Fail(w.t, "nothing is started any more")
 }
+
+// TestSilenceIsSettledByTheNextAnswer: what a lease that ran out proves is known when the worker answers again, to the
+// same owner or the next one: the same life proves nothing, another one that the task may have ended it.
+func TestSilenceIsSettledByTheNextAnswer(t *testing.T) {
+	for name, c := range map[string]struct {
+		takesOver, reborn bool
+		counts            string
+	}{
+		"same life":              {false, false, "{0 0}"},
+		"other life":             {false, true, "{1 0}"},
+		"same life, next owner":  {true, false, "{0 0}"},
+		"other life, next owner": {true, true, "{1 0}"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := bornWorld(t)
+			w.submit("slow", "Urgent", quick(1))
+			w.decide(turnSpan)
+			silent := w.placedOn()
+			w.runner.Dark(w.workers[silent].ID, true)
+			w.play(8 * cottonlanding.Second)
+			require.NotEqual(t, silent, w.placedOn())
+			require.Contains(t, w.cell.Fingerprint(w.now), "{0 0} "+string(w.workers[silent].ID)+"@")
+			if c.takesOver {
+				w.takeOver()
+			}
+			w.runner.Dark(w.workers[silent].ID, false)
+			if c.reborn {
+				w.rebirth(silent)
+				w.relist()
+			}
+			w.play(cottonlanding.Second)
+			require.Contains(t, w.cell.Fingerprint(w.now), c.counts+"  true", "nothing is open any more")
+		})
+	}
+}
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -93,6 +93,8 @@
 	// runs that run apart.
 	outages      []outage
 	apartWorkers []*worker
+	// open holds the lives that tasks have left open, by worker.
+	open map[cottonlanding.WorkerID]*openLives
 	// due is what is due to lasting tasks that have run, as of the last decision.
 	due dues
 	// superseded says that a worker has seen a newer owner.
@@ -166,6 +168,7 @@
 		referrals:   make(map[cottonlanding.WorkflowID]*referral),
 		unwritten:   make(map[cottonlanding.WorkflowID][]func(error)),
 		pressure:    newPressure(policy.Disturbance),
+		open:        make(map[cottonlanding.WorkerID]*openLives),
 		counts:      Counts{Ends: make(map[cottonlanding.EndKind]int64)},
 	}
 }
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -86,8 +86,8 @@
 	number   cottonlanding.RunNumber
 	failures int
 	crashes  cottonlanding.CrashRecord
-	// cleared counts how often crashes was forgotten under this owner.
-	cleared int
+	// openLife is the last life whose lease ran out under the task and that nobody has heard since.
+	openLife cottonlanding.Life
 	// checkpoint is the newest text of the task, resumeFrom the one with which its present run is
 	// started. Of a gang's tasks only the first has them, for all: see keeper.
 	checkpoint knownCheckpoint
--- a/internal/workflow/planner/life.go
+++ b/internal/workflow/planner/life.go
@@ -104,6 +104,7 @@
 	}
 	w := c.addWorker(before.info, now)
 	w.born, w.listed, w.predecessor = born, before.listed, before
+	w.noteEndSeen(before, now)
 	w.before = append(slices.Clone(before.before), before.born)
 	w.before = w.before[max(0, len(w.before)-birthsKept):]
 	// Leases reckoned by the clock of the life before may have reached this one, which cuts
@@ -119,6 +120,11 @@
 	return w
 }
 
+// lifeRef names the life on which the run was placed.
+func (r *run) lifeRef() cottonlanding.Life {
+	return cottonlanding.Life{Worker: r.worker.info.ID, Born: r.born}
+}
+
 // isEarlier reports whether a run was placed on an earlier life of its worker, by this owner or
 // by one before.
 func (r *run) isEarlier() bool {
@@ -147,7 +153,7 @@
 	r.phase, r.ackedAt, r.listedAt = sent, 0, 0
 	r.percent, r.tail, r.used = 0, 0, 0
 	r.overSince, r.figureAt, r.reaffirmAt = 0, 0, 0
-	r.charged, r.suspected = false, false
+	r.charged, r.suspected, r.outlived = false, false, false
 	r.pace = fullPace
 	if r.step.Fills {
 		r.pace = unknownPace // a late copy of an order of pace may have reached it too
@@ -234,6 +240,7 @@
 // however long its entry stays.
 func (c *Cell) lifeEnded(w *worker, now cottonlanding.Millis) {
 	c.loseWorker(w, now, lossByAnswer)
+	c.settleOpen(w.info.ID, hasEnded, now)
 	w.listed = false
 	c.ended[w.info.ID] = endedLife{w.life().Born, w.info.Address}
 	c.log.Warn("life of a worker ended", "Worker", w.info.ID, "Born", w.life().Born, "Address", w.info.Address, "LastAnswer", now-w.answered)
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -101,6 +101,10 @@
 	t.setLife(row.Life)
 	t.loadCheckpoint(row, now)
 	t.crashes = cottonlanding.CrashRecord{Losses: row.Losses, Crashes: row.Crashes}
+	if row.OpenLife.Worker != "" {
+		t.setOpenLife(row.OpenLife)
+		c.awaitNews(t)
+	}
 	switch t.state {
 	case taskDone:
 		t.stage.done++
@@ -116,7 +120,7 @@
 		}
 		key := cottonlanding.RunKey{Task: t.ref, Number: t.number}
 		t.run = &run{RunKey: key, task: t, worker: w, life: w, born: t.life.Born, step: t.stage.Step, phase: sent, doubtful: true,
-			pace: pace, paceGoal: fullPace, placedAt: now, moved: now, charged: row.Charged}
+			pace: pace, paceGoal: fullPace, placedAt: now, moved: now, charged: row.Charged, outlived: row.Outlived}
 		w.addRun(t.run)
 		if t.job.state.Final() {
 			c.stop(t.run, "the workflow ended", now)
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -91,7 +91,7 @@
 	if w == asked {
 		w.forgotten = max(w.forgotten, look.Look.Seen)
 	}
-	c.refund(w)
+	c.settleHeard(w, now)
 	w.unlistedAlive = !w.listed
 	w.failed, w.asked = false, true
 	w.unsure, w.unanswered = false, false
@@ -146,6 +146,7 @@
 			r = c.adoptOrphan(w, progress.RunKey, now)
 		}
 		r.progress(progress, now)
+		c.noteOutlived(r)
 		c.clear(r, now)
 	}
 	if len(report.Ended) >= endsPerAnswer {
--- /dev/null
+++ b/internal/workflow/planner/openlife.go
@@ -0,0 +1,112 @@
+package planner
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// A lease that runs out leaves open whether the worker has crashed under the task or goes on behind a cut. What is
+// heard next tells, to whichever owner: an answer of the same life says that it has outlived the task, another life in
+// its place that it has ended. Until then nothing counts.
+
+// openLives are the lives of one worker that tasks have left open.
+type openLives struct {
+	tasks []*task
+	// address is the worker's, if it is known: another worker there says that the life has ended.
+	address cottonlanding.Address
+}
+
+// leaveOpen notes that a lease has run out under a task that may just have begun there. Of several
+// such lives the last is kept; none is where the row has no room for it.
+func (c *Cell) leaveOpen(t *task, life cottonlanding.Life) {
+	bytes := openLifeBytes(life) - openLifeBytes(t.openLife)
+	if t.job.size.bytes()+bytes > mostForRounds {
+		c.log.Warn("open life not kept", "Task", t.ref.String(), "Life", life.String(), "RowBytes", t.job.size.bytes())
+		return
+	}
+	t.setOpenLife(life)
+	c.awaitNews(t)
+	c.touch(t.job)
+}
+
+// awaitNews has the task's open life settled by what is heard of its worker.
+func (c *Cell) awaitNews(t *task) {
+	id := t.openLife.Worker
+	lives := c.open[id]
+	if lives == nil {
+		lives = new(openLives)
+		c.open[id] = lives
+	}
+	lives.tasks = append(lives.tasks, t)
+	if w := c.workers[id]; w != nil && w.info.Address != "" {
+		lives.address = w.info.Address
+	}
+}
+
+// openLifeBytes returns what an open life takes in a row at most.
+func openLifeBytes(life cottonlanding.Life) int {
+	if life.Worker == "" {
+		return 0
+	}
+	return len(`,null,""`) + encodedBytes(life.String())
+}
+
+// setOpenLife notes which life is open; the zero value is none.
+func (t *task) setOpenLife(life cottonlanding.Life) {
+	t.job.size.open += openLifeBytes(life) - openLifeBytes(t.openLife)
+	t.openLife = life
+}
+
+// forgetOpen makes room in the job's row for what must be in it.
+func (j *job) forgetOpen() {
+	if j.size.open > 0 {
+		j.eachTask(func(t *task) { t.setOpenLife(cottonlanding.Life{}) })
+	}
+}
+
+// settleHeard settles the open lives of a worker that answers.
+func (c *Cell) settleHeard(w *worker, now cottonlanding.Millis) {
+	c.settleOpen(w.info.ID, func(life cottonlanding.Life) bool { return life.Born.IsOtherThan(w.born) }, now)
+}
+
+// settleReplaced settles the open lives of workers that are no longer listed while others have their
+// addresses.
+func (c *Cell) settleReplaced(listed map[cottonlanding.WorkerID]bool, addresses map[cottonlanding.Address]cottonlanding.WorkerID, now cottonlanding.Millis) {
+	for _, id := range slices.Sorted(maps.Keys(c.open)) {
+		if _, replaced := addresses[c.open[id].address]; replaced && !listed[id] {
+			c.settleOpen(id, hasEnded, now)
+		}
+	}
+}
+
+// hasEnded is for lives of which nothing is left.
+func hasEnded(cottonlanding.Life) bool { return true }
+
+// settleOpen settles the open lives of a worker by which of them have ended.
+func (c *Cell) settleOpen(id cottonlanding.WorkerID, ended func(cottonlanding.Life) bool, now cottonlanding.Millis) {
+	lives := c.open[id]
+	if lives == nil {
+		return
+	}
+	delete(c.open, id)
+	var convicted []*task
+	for _, t := range lives.tasks {
+		if t.openLife.Worker != id || t.job.state.Final() {
+			continue
+		}
+		loss := cottonlanding.RunLoss{LifeEnded: ended(t.openLife), Recent: true}
+		if loss.Finding() > cottonlanding.NoProof {
+			t.crashes.Losses++
+		}
+		c.log.Info("silence settled", "Task", t.ref.String(), "Life", t.openLife.String(), "Ended", loss.LifeEnded,
+			"Losses", t.crashes.Losses, "Crashes", t.crashes.Crashes)
+		t.setOpenLife(cottonlanding.Life{})
+		c.touch(t.job)
+		if t.crashes.Losses >= mostLosses {
+			convicted = append(convicted, t)
+		}
+	}
+	c.giveUp(convicted, now)
+}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -201,7 +201,7 @@
 	switch {
 	case w.health.doubtful(now) || len(t.failedOn) > 0 && slices.Contains(t.failedOn, w.life()):
 		return doubtful
-	case c.policy.Blame.Isolates(t.crashes) && w.lastingRuns():
+	case c.policy.Blame.Isolates(t.crashes) && (w.lastingRuns() || !w.steady(now)):
 		return doubtful
 	case t.stage.DataRack != "" && w.info.Rack == t.stage.DataRack:
 		return nearData
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -65,21 +65,31 @@
 	Crashes int
 	// ResumeFrom is what the present run is started with, if that isn't Checkpoint.
 	ResumeFrom *cottonlanding.Checkpoint
+	// OpenLife is the last life whose lease ran out under the task and that nobody has heard since.
+	OpenLife cottonlanding.Life
 	// Charged says that the loss of the present run is in Losses already: it is being ruled out in
 	// the life after the one on which it was placed.
 	Charged bool
+	// Outlived says that the present run has gone on for longer than a task that crashes its worker does,
+	// and isn't Charged.
+	Outlived bool
 	// startsRun says that the present run is started with Checkpoint. It isn't written.
 	startsRun bool
 }
 
-// MarshalJSON writes the fields in order. Losses are negative if the present run's is among them.
+// MarshalJSON writes the fields in order. Losses are negative if the present run's is among them, and
+// Crashes are -1 and less, from none on, if it is outlived.
 func (r taskRow) MarshalJSON() ([]byte, error) {
 	losses := r.Losses
 	if r.Charged {
 		losses = -losses
 	}
-	fields := []any{r.State, r.Number, r.Life.String(), r.Failures, r.Checkpoint, losses, r.Crashes, r.ResumeFrom}
-	set := []bool{r.State != taskWaiting, r.Number > 0, r.Life.Worker != "", r.Failures > 0, r.Checkpoint != "", losses != 0, r.Crashes > 0, r.ResumeFrom != nil}
+	crashes := r.Crashes
+	if r.Outlived {
+		crashes = -1 - crashes
+	}
+	fields := []any{r.State, r.Number, r.Life.String(), r.Failures, r.Checkpoint, losses, crashes, r.ResumeFrom, r.OpenLife.String()}
+	set := []bool{r.State != taskWaiting, r.Number > 0, r.Life.Worker != "", r.Failures > 0, r.Checkpoint != "", losses != 0, crashes != 0, r.ResumeFrom != nil, r.OpenLife.Worker != ""}
 	for len(set) > 0 && !set[len(set)-1] {
 		set = set[:len(set)-1]
 	}
@@ -88,12 +98,15 @@
 
 // UnmarshalJSON reads what MarshalJSON wrote.
 func (r *taskRow) UnmarshalJSON(data []byte) error {
-	fields := []any{&r.State, &r.Number, &r.Life, &r.Failures, &r.Checkpoint, &r.Losses, &r.Crashes, &r.ResumeFrom}
+	fields := []any{&r.State, &r.Number, &r.Life, &r.Failures, &r.Checkpoint, &r.Losses, &r.Crashes, &r.ResumeFrom, &r.OpenLife}
 	if err := json.Unmarshal(data, &fields); err != nil {
 		return err
 	}
 	r.Charged = r.Losses < 0
 	r.Losses = max(r.Losses, -r.Losses)
+	if r.Crashes < 0 {
+		r.Crashes, r.Outlived = -1-r.Crashes, true
+	}
 	return nil
 }
 
@@ -215,7 +228,9 @@
 		Losses:     t.crashes.Losses,
 		Crashes:    t.crashes.Crashes,
 		ResumeFrom: t.rowResumeFrom(),
+		OpenLife:   t.openLife,
 		Charged:    t.run != nil && t.run.charged,
+		Outlived:   t.run != nil && t.run.outlived && !t.run.charged,
 		startsRun:  t.startsRun(),
 	}
 }
--- a/internal/workflow/planner/rebirth_test.go
+++ b/internal/workflow/planner/rebirth_test.go
@@ -53,13 +53,17 @@
 	w.cell.SetWorkers(w.workers, w.now)
 }
 
-// bornWorld is a world whose workers tell their births, each with a label that is its id.
+// provenAfter is how long a life must have gone on for its end to tell something.
+const provenAfter = 10 * cottonlanding.Second
+
+// bornWorld is a world whose workers tell their births, some time ago, each with a label that is its id.
 func bornWorld(t require.TestingT) *world {
 	w := newSpreadWorld(t)
 	for at := range w.workers {
 		w.workers[at].Labels = []cottonlanding.Label{cottonlanding.Label(w.workers[at].ID)}
 		w.rebirth(at)
 	}
+	w.now += provenAfter
 	w.takeOver()
 	for range 3 {
 		w.turn(turnSpan)
--- a/internal/workflow/planner/rowsize.go
+++ b/internal/workflow/planner/rowsize.go
@@ -39,13 +39,14 @@
 type rowSize struct {
 	// undone and done count the tasks in the row.
 	undone, done int
-	// lives is what the lives of the workers take on which tasks are placed, in bytes.
-	lives int
+	// lives is what the lives of the workers take on which tasks are placed, open what those take
+	// that tasks have left open, in bytes.
+	lives, open int
 }
 
 // bytes returns the most that the row takes.
 func (s rowSize) bytes() int {
-	return headBytes + s.undone*waitingBytes + s.done*doneBytes + s.lives
+	return headBytes + s.undone*waitingBytes + s.done*doneBytes + s.lives + s.open
 }
 
 // usualBytes returns what the row takes if all tasks that aren't done run on workers with ids of
@@ -101,6 +102,7 @@
 		return true
 	}
 	j.leaveOutFinished()
+	j.forgetOpen()
 	return j.size.bytes()+bytes <= maxRow
 }
 
@@ -173,6 +175,7 @@
 		return true
 	}
 	j.leaveOutFinished()
+	j.forgetOpen()
 	return j.sizeWithRound().fitsRounds()
 }
 
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -54,6 +54,9 @@
 		w.health.noteFailure(now)
 		c.fail(t, w, now)
 	default:
+		if end.Kind == cottonlanding.EndLapsed {
+			t.clearLosses() // its worker has outlived it by a lease
+		}
 		c.requeue(t, now)
 	}
 }
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -64,6 +64,8 @@
 	// retaken says that another life than the one that was meant took the start, so that sentAt tells
 	// nothing of when the run began.
 	retaken bool
+	// outlived says that the worker has listed it for longer than a task needs that crashes the worker.
+	outlived bool
 	// charged says that its loss has counted against its task, suspected that it did as a crash.
 	charged   bool
 	suspected bool
@@ -132,8 +134,14 @@
 	unanswered bool
 	// knownSince is when the owner first knew of the worker.
 	knownSince cottonlanding.Millis
-	// charged lists what its loss counted against tasks, until it answers again.
-	charged []charge
+	// endsSeen counts the earlier lives that this owner has seen to end with nothing there that had just
+	// begun, the last at endSeenAt.
+	endsSeen  int
+	endSeenAt cottonlanding.Millis
+	// metBefore says that this owner has seen the life before end, with a run that stood out for each task
+	// of suspectsBefore.
+	metBefore      bool
+	suspectsBefore []*task
 	// unlistedAlive says that the worker answered when its entry had gone: it is leaving.
 	unlistedAlive bool
 	runs          runSet
@@ -217,6 +225,9 @@
 			continue // its entry stays for some seconds
 		}
 		listed[info.ID] = true
+		if lives := c.open[info.ID]; lives != nil {
+			lives.address = info.Address
+		}
 		addresses[info.Address] = info.ID
 		w := c.workers[info.ID]
 		if w == nil {
@@ -229,6 +240,7 @@
 		w.describe(info)
 		c.noteCordon(w)
 	}
+	c.settleReplaced(listed, addresses, now)
 	for _, w := range c.sortedWorkers() {
 		if w.listed && !listed[w.info.ID] {
 			c.log.Info("worker no longer listed", "Worker", w.info.ID, "Runs", w.runs.size())
