serve: a worker that ends by itself fails no job whose task had run for seconds

What callers saw in workflows (a lasting task taken for the cause of what its worker did by itself) stands in the scheduler of jobs too: each life that ended within ten seconds of a task's start counted, so that a worker that went down and up each eight seconds failed the job. Cuts don't: a life counts as ended only where another one answers; TestCutsFailNoJob holds that.

A run that was reported for three seconds counts no more, also for the next owner, since the task's row says so.

--- a/internal/placement/scheduler/decide.go
+++ b/internal/placement/scheduler/decide.go
@@ -17,6 +17,9 @@
 	// mostLost is how many lives of workers may end soon after a task began there before
 	// its job fails. Fewer would often be other tasks' doing: each takes some ten along.
 	mostLost = 5
+	// outlives is how long a task must have run for the end of its worker to count nothing: one that
+	// crashes its workers does so as it starts, and reports come seldom.
+	outlives = 3 * cottonlanding.Second
 	// failuresPerWorker is how often a task may fail on few workers before its
 	// job is stopped all the same.
 	failuresPerWorker = 3
--- a/internal/placement/scheduler/job.go
+++ b/internal/placement/scheduler/job.go
@@ -139,7 +139,7 @@
 	t.queued, t.notBefore = now, now+delay
 	t.evicting = false
 	t.roomOn = ""
-	t.ran = 0
+	t.ran, t.Outlived = 0, false
 	c.queue[t.ID] = t
 	c.dirtyTasks[t.ID] = t
 }
--- a/internal/placement/scheduler/round.go
+++ b/internal/placement/scheduler/round.go
@@ -309,6 +309,7 @@
 		h.acked = true
 		if t != nil && t.desired(w.info.ID, r.attempt) {
 			t.ran = taskRun.Ran + now - w.runsAt
+			c.noteOutlived(t)
 			if t.ran >= quickFailure {
 				c.clearLost(t)
 			}
@@ -359,6 +360,15 @@
 	}
 }
 
+// noteOutlived notes, also for the next owner, that the run of a task has lasted for longer than a task
+// needs that crashes its worker.
+func (c *Cell) noteOutlived(t *task) {
+	if t.ran >= outlives && !t.Outlived {
+		t.Outlived = true
+		c.dirtyTasks[t.ID] = t
+	}
+}
+
 // clearLost forgets the losses of a task that has run for long, also for the next owner.
 func (c *Cell) clearLost(t *task) {
 	if t.Lost > 0 {
@@ -370,7 +380,7 @@
 // loseRun lets a task run again whose run was lost, unless the lives of several workers have
 // ended soon after it began there: a worker that crashes reports no failure.
 func (c *Cell) loseRun(w *worker, t *task, lifeEnded bool, now cottonlanding.Millis) {
-	if lifeEnded && t.ran < quickFailure {
+	if lifeEnded && !t.Outlived {
 		t.Lost++
 	}
 	if t.Lost < mostLost {
--- a/job.go
+++ b/job.go
@@ -79,7 +79,9 @@
 	FailedOn []WorkerID
 	// Lost counts the lives of workers that ended soon after the task began there, since it
 	// last ran for long.
-	Lost      int `json:",omitempty"`
+	Lost int `json:",omitempty"`
+	// Outlived says that the present run has lasted for longer than a task needs that crashes its worker.
+	Outlived  bool `json:",omitempty"`
 	Evictions int
 	Result    string
 }
