--- a/internal/workflow/planner/export_test.go
+++ b/internal/workflow/planner/export_test.go
@@ -9,6 +9,12 @@
 	"github.com/cottonlanding/cottonlanding"
 )
 
+// TaskRow is how a task is kept, for tests of the format.
+type TaskRow = taskRow
+
+// TaskAssigned is the state of a task that was placed.
+const TaskAssigned = taskAssigned
+
 // Fingerprint describes what the cell believes of its workers and tasks, without instants: two
 // cells with the same one go on alike.
 func (c *Cell) Fingerprint(now cottonlanding.Millis) string {
