An owner forgets open lives that nobody waits for any more

A worker that is gone for good is never heard, so that each workflow of which a lease had run out there would have stayed in the owner's memory.

--- a/internal/workflow/planner/export_test.go
+++ b/internal/workflow/planner/export_test.go
@@ -72,3 +72,6 @@
 	}
 	return len(encode(row)), all.bytes()
 }
+
+// OpenLives counts the workers of which the cell waits for news.
+func (c *Cell) OpenLives() int { return len(c.open) }
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -324,8 +324,9 @@
 	c.log.Info("workflow ended", "Workflow", j.ID, "State", state, "Reason", reason, "After", now-j.accepted)
 }
 
-// prune forgets workflows that were final for long enough.
+// prune forgets workflows that were final for long enough, and what they have waited for.
 func (c *Cell) prune(now cottonlanding.Millis) {
+	c.pruneOpen()
 	for _, j := range c.jobs {
 		if j.state.Final() && j.committed && now-j.ended > c.timing.Retention && c.dirty[j.ID] == nil {
 			c.touch(j)
--- a/internal/workflow/planner/openlife.go
+++ b/internal/workflow/planner/openlife.go
@@ -81,6 +81,16 @@
 	}
 }
 
+// pruneOpen forgets what nobody waits for any more: a worker that is gone for good is never heard.
+func (c *Cell) pruneOpen() {
+	for id, lives := range c.open {
+		lives.tasks = slices.DeleteFunc(lives.tasks, func(t *task) bool { return t.openLife.Worker != id || t.job.state.Final() })
+		if len(lives.tasks) == 0 {
+			delete(c.open, id)
+		}
+	}
+}
+
 // hasEnded is for lives of which nothing is left.
 func hasEnded(cottonlanding.Life) bool { return true }
 
--- /dev/null
+++ b/internal/workflow/planner/openlife_test.go
@@ -0,0 +1,26 @@
+package planner_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// TestWorkersThatNeverReturnAreForgotten: an owner that waited for news of each worker that is gone for good would
+// keep all workflows that ever ran there.
+func TestWorkersThatNeverReturnAreForgotten(t *testing.T) {
+	w := bornWorld(t)
+	for _, id := range []cottonlanding.WorkflowID{"a", "b", "c"} {
+		w.submit(id, "Urgent", quick(2))
+	}
+	w.decide(turnSpan)
+	w.runner.Dark("w1", true)
+	w.play(8 * cottonlanding.Second)
+	w.play(8 * cottonlanding.Second)
+	for _, id := range []cottonlanding.WorkflowID{"a", "b", "c"} {
+		w.requireState(id, cottonlanding.WorkflowSucceeded)
+	}
+	require.Zero(t, w.cell.OpenLives())
+}
