--- a/internal/workflow/planner/blamerefused_test.go
+++ b/internal/workflow/planner/blamerefused_test.go
@@ -37,7 +37,6 @@
 	first[0].SentAt = w.now
 	w.cell.Ordered(first[0], 0, cottonlanding.ErrAmbiguous, w.now)
 	w.now += cottonlanding.Second / 2
-	w.lookAll() // the worker carries it out later
 	second := w.cell.Orders(w.now)
 	require.Len(t, second, 1)
 	second[0].SentAt = w.now
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -136,9 +136,6 @@
 	case r.phase < started && (c.startsHeld || w.cordoned() || !w.reachable(now)):
 		// A lease that has passed by this life's clock may be valid by the next one's.
 		return Order{}, false
-	case r.doubtful && w.answered <= r.sentAt:
-		// A copy that got no answer may have ended a life that nobody has missed yet.
-		return Order{}, false
 	case r.phase == cleared || r.phase == sent:
 		order.Verb = VerbStart
 		order.Start.Payload = r.task.job.Payload
--- a/internal/workflow/planner/stop_test.go
+++ b/internal/workflow/planner/stop_test.go
@@ -80,11 +80,10 @@
 		w.commit()
 		first := w.cell.Orders(w.now)
 		require.Len(t, first, 1)
-		w.cell.Ordered(first[0], 0, cottonlanding.ErrAmbiguous, w.now)
-		w.now += 300
-		w.lookAll() // the worker carries it out later
 		_, err := w.send(first[0])
 		require.NoError(t, err)
+		w.cell.Ordered(first[0], 0, cottonlanding.ErrAmbiguous, w.now)
+		w.now += 300
 		again := w.cell.Orders(w.now)
 		require.Len(t, again, 1)
 		require.Equal(t, planner.VerbStart, again[0].Verb)
