--- a/internal/workflow/planner/blamerepeat_test.go
+++ b/internal/workflow/planner/blamerepeat_test.go
@@ -6,10 +6,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestRepeatedStartMeetsNoLifeAfterLife: a start without an answer was repeated each 250 ms while the worker
+// TestRepeatedStartMeetsNoLifeAfterLife: a start without an answer is repeated each 250 ms while the worker
 // answered a look within three seconds. Where each life that it ends is back under its id sooner, and
 // no look is under way, as while ends wait for their commit, each copy begins the task in another
-// life, and none of these crashes was counted before the next look.
+// life, and none of these crashes is counted before the next look.
 func TestRepeatedStartMeetsNoLifeAfterLife(t *testing.T) {
 	w := newCulprit(t)
 	for range 80 {
