A life whose entry was gone before an owner came is taken for ended

Traced: its worker was back under another id before the next owner came, which had never read the old entry. The lease ran out, and nobody could ever settle what it left open, so that one of six crashes wasn't counted.

Such a life is taken for ended, whether its run is given up by this owner or it was left open under an earlier one. A run that was seen to outlive its start counts nothing all the same.

--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -122,9 +122,11 @@
 	return suspect.Record.Losses >= mostLosses || c.policy.Blame.Convicts(suspect)
 }
 
-// isUntraceable reports whether nothing will ever tell what became of the run's life: it has no birth, and its
-// entry is gone. Such a life is taken for ended.
-func (r *run) isUntraceable() bool { return r.born == 0 && !r.worker.listed }
+// isUntraceable reports whether nothing can tell what became of the run's life: its entry is gone, and it has no
+// birth, or this owner has never read its address. Such a life is taken for ended.
+func (r *run) isUntraceable() bool {
+	return !r.worker.listed && (r.born == 0 || r.worker.info.Address == "")
+}
 
 // chargeable reports whether the loss of the run counts for its task: it isn't done, nor its
 // workflow over, and the run has not been lost with an earlier life already.
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -93,6 +93,8 @@
 	// runs that run apart.
 	outages      []outage
 	apartWorkers []*worker
+	// listRead says that the list of workers was read once.
+	listRead bool
 	// open holds the lives that tasks have left open, by worker.
 	open map[cottonlanding.WorkerID]*openLives
 	// due is what is due to lasting tasks that have run, as of the last decision.
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -326,7 +326,7 @@
 
 // prune forgets workflows that were final for long enough, and what they have waited for.
 func (c *Cell) prune(now cottonlanding.Millis) {
-	c.pruneOpen()
+	c.pruneOpen(now)
 	for _, j := range c.jobs {
 		if j.state.Final() && j.committed && now-j.ended > c.timing.Retention && c.dirty[j.ID] == nil {
 			c.touch(j)
--- a/internal/workflow/planner/openlife.go
+++ b/internal/workflow/planner/openlife.go
@@ -81,9 +81,15 @@
 	}
 }
 
-// pruneOpen forgets what nobody waits for any more: a worker that is gone for good is never heard.
-func (c *Cell) pruneOpen() {
-	for id, lives := range c.open {
+// pruneOpen settles what nothing can tell any more, and forgets what nobody waits for: a worker that is gone for good
+// is never heard.
+func (c *Cell) pruneOpen(now cottonlanding.Millis) {
+	for _, id := range slices.Sorted(maps.Keys(c.open)) {
+		lives := c.open[id]
+		if lives.address == "" && c.listRead && c.workers[id] == nil {
+			c.settleOpen(id, hasEnded, now) // its entry was gone before this owner came
+			continue
+		}
 		lives.tasks = slices.DeleteFunc(lives.tasks, func(t *task) bool { return t.openLife.Worker != id || t.job.state.Final() })
 		if len(lives.tasks) == 0 {
 			delete(c.open, id)
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -240,6 +240,7 @@
 		w.describe(info)
 		c.noteCordon(w)
 	}
+	c.listRead = c.listRead || len(infos) > 0
 	c.settleReplaced(listed, addresses, now)
 	for _, w := range c.sortedWorkers() {
 		if w.listed && !listed[w.info.ID] {
