--- a/blame.go
+++ b/blame.go
@@ -10,8 +10,9 @@
 
 // RunLoss is what an owner knows of a run that was lost with a worker.
 type RunLoss struct {
-	// LifeEnded says that another life was seen in the place of the one that had the run. A lease
-	// that ran out says only that owner and worker didn't reach each other.
+	// LifeEnded says that another life was seen in the place of the one that had the run, or that its
+	// entry was gone for good. A lease that ran out says only that owner and worker didn't reach each
+	// other.
 	LifeEnded bool
 	// Met says that this owner had answers of the life, so that it knows when it fell silent.
 	Met bool
--- a/internal/policy/blamer/blamer_test.go
+++ b/internal/policy/blamer/blamer_test.go
@@ -42,12 +42,14 @@
 		suspect cottonlanding.SuspectView
 		guilty  bool
 	}{
-		"first crash":              {cottonlanding.SuspectView{Record: record(1), Finding: cottonlanding.LikelyCrash, Alone: true, Prompt: true}, false},
-		"second, alone and prompt": {cottonlanding.SuspectView{Record: record(2), Finding: cottonlanding.LikelyCrash, Alone: true, Prompt: true}, true},
-		"second, alone and late":   {cottonlanding.SuspectView{Record: record(2), Finding: cottonlanding.LikelyCrash, Alone: true}, false},
-		"third, alone and late":    {cottonlanding.SuspectView{Record: record(3), Finding: cottonlanding.LikelyCrash, Alone: true}, true},
-		"fourth, among others":     {cottonlanding.SuspectView{Record: record(4), Finding: cottonlanding.LikelyCrash, Prompt: true}, false},
-		"third, not blamed":        {cottonlanding.SuspectView{Record: record(3), Finding: cottonlanding.PossibleCrash, Alone: true, Prompt: true}, false},
+		"first crash":               {cottonlanding.SuspectView{Record: record(1), Finding: cottonlanding.LikelyCrash, Alone: true, Prompt: true}, false},
+		"second, alone and prompt":  {cottonlanding.SuspectView{Record: record(2), Finding: cottonlanding.LikelyCrash, Alone: true, Prompt: true}, true},
+		"second, while others fall": {cottonlanding.SuspectView{Record: record(2), Finding: cottonlanding.LikelyCrash, Alone: true, Prompt: true, Crash: cottonlanding.CrashView{Workers: 23, Silent: 6}}, false},
+		"third, while others fall":  {cottonlanding.SuspectView{Record: record(3), Finding: cottonlanding.LikelyCrash, Alone: true, Prompt: true, Crash: cottonlanding.CrashView{Workers: 23, Silent: 6}}, true},
+		"second, alone and late":    {cottonlanding.SuspectView{Record: record(2), Finding: cottonlanding.LikelyCrash, Alone: true}, false},
+		"third, alone and late":     {cottonlanding.SuspectView{Record: record(3), Finding: cottonlanding.LikelyCrash, Alone: true}, true},
+		"fourth, among others":      {cottonlanding.SuspectView{Record: record(4), Finding: cottonlanding.LikelyCrash, Prompt: true}, false},
+		"third, not blamed":         {cottonlanding.SuspectView{Record: record(3), Finding: cottonlanding.PossibleCrash, Alone: true, Prompt: true}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			require.Equal(t, c.guilty, blamer.Fair{}.Convicts(c.suspect))
