A holder's first step waits until the holder is made

Cause: New starts the duty and stores it after; a first step that is quick enough arms a timer with the duty that isn't stored yet. Ruled out: the timer outliving a closed holder, which would have a duty.

The first step waits until the duty is stored. By the order of the statements there is no such step any more; no test forces the order from outside, the race detector saw it in TestLastingWorkflowLeavesADeadHomeForCellsOfShortTasks.

--- a/internal/coordination/holder/holder.go
+++ b/internal/coordination/holder/holder.go
@@ -130,7 +130,12 @@
 		log:       deps.Log.With("Cell", cell),
 		connected: true,
 	}
-	h.duty = repeater.New(timing.Poll, h.step)
+	made := make(chan struct{}) // a step nudges the duty
+	h.duty = repeater.New(timing.Poll, func(ctx context.Context) {
+		<-made
+		h.step(ctx)
+	})
+	close(made)
 	deps.Roll.Listen(h.watched(ownerRow), h.duty.Nudge)
 	deps.Roll.Listen(h.watched(requestRow), h.duty.Nudge)
 	return h
