--- a/internal/policy/selector/selector.go
+++ b/internal/policy/selector/selector.go
@@ -11,6 +11,7 @@
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/policy/blamer"
 	"github.com/cottonlanding/cottonlanding/internal/policy/cataloger"
+	"github.com/cottonlanding/cottonlanding/internal/policy/delegator"
 	"github.com/cottonlanding/cottonlanding/internal/policy/mixer"
 	"github.com/cottonlanding/cottonlanding/internal/policy/placer"
 	"github.com/cottonlanding/cottonlanding/internal/policy/ranker"
@@ -81,6 +82,7 @@
 			Mixing:           choose(s, "Mixing", mixer.Catalog, mixer.Fallback)(),
 			Ranking:          choose(s, "Ranking", ranker.Catalog, ranker.Fallback)(),
 			Blame:            choose(s, "Blame", blamer.Catalog, blamer.Fallback)(),
+			Delegation:       choose(s, "Delegation", delegator.Catalog, delegator.Fallback)(),
 			KeepsTogether:    choose(s, "Together", togethers, "datacentre")(),
 			WatchesPlaces:    choose(s, "Silence", silences, "place")(),
 		},
--- /dev/null
+++ b/internal/workflow/driver/delegation.go
@@ -0,0 +1,147 @@
+package driver
+
+import (
+	"context"
+	"sync"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+const (
+	// delegateEvery is how often it is looked for tasks to delegate: as often as other cells tell of
+	// their room.
+	delegateEvery = moveEvery
+	// delegablesSeen bounds the tasks that are weighed at a time.
+	delegablesSeen = 100
+	// askGuestsEvery is how often other cells are asked about the tasks that they run. It is a small part
+	// of the time for which a guest cell may start tasks after each answer.
+	askGuestsEvery = 250 * cottonlanding.Millis(1)
+)
+
+// delegate looks for tasks that wait here while another cell has room. The caller holds the lock.
+func (d *Driver) delegate(now cottonlanding.Millis) {
+	if d.deps.Delegate == nil {
+		return
+	}
+	if now-d.delegatedAt >= delegateEvery {
+		d.delegatedAt = now
+		for _, task := range d.cell.Delegables(delegablesSeen, d.deps.Home, now) {
+			if to, found := d.deps.Delegate(task); found {
+				d.cell.Delegate(task.Ref, to, now)
+			}
+		}
+	}
+	if !d.asksGuests && d.cell.Delegating() {
+		d.asksGuests = true
+		d.work.Go(d.askGuests)
+	}
+}
+
+// askGuestsSoon has other cells asked at once if they run tasks of this one.
+func (d *Driver) askGuestsSoon() {
+	if d.asksGuests {
+		kick(d.guestsDue)
+	}
+}
+
+// askGuests asks the cells that run tasks of this one, again and again.
+func (d *Driver) askGuests() {
+	asked := make(map[cottonlanding.CellNumber]*guestCell)
+	for d.ctx.Err() == nil {
+		var under sync.WaitGroup
+		for to, workflows := range d.delegations() {
+			if asked[to] == nil {
+				asked[to] = &guestCell{driver: d, cell: to}
+			}
+			guest := asked[to]
+			under.Go(func() { guest.ask(workflows) })
+		}
+		under.Wait()
+		d.await(d.guestsDue, askGuestsEvery)
+		d.sleep(spacing)
+	}
+}
+
+func (d *Driver) delegations() map[cottonlanding.CellNumber][]planner.DelegatedWorkflow {
+	var out map[cottonlanding.CellNumber][]planner.DelegatedWorkflow
+	if err := d.with(func(cell *planner.Cell, _ cottonlanding.Millis) { out = cell.Delegations() }); err != nil {
+		return nil // it isn't owned at present
+	}
+	return out
+}
+
+// guestCell is another cell that runs tasks of this one.
+type guestCell struct {
+	driver *Driver
+	cell   cottonlanding.CellNumber
+	// last is the stamp of its last answer.
+	last planner.DelegationStamp
+	// silent says that the last question got no answer.
+	silent bool
+}
+
+// ask asks the cell. After the first answer of an owner it asks again at once: only the second question
+// shows that owner how old it is.
+func (g *guestCell) ask(workflows []planner.DelegatedWorkflow) {
+	for range 2 {
+		ctx, cancel := context.WithTimeout(g.driver.ctx, callTimeout.Duration())
+		answer, err := g.driver.deps.AskGuests(ctx, g.cell, planner.DelegationQuestion{Keeper: g.driver.deps.Cell, Last: g.last, Workflows: workflows})
+		cancel()
+		g.noteSilent(err)
+		if err != nil {
+			return
+		}
+		known := answer.Stamp.Epoch == g.last.Epoch
+		g.last = answer.Stamp
+		if err := g.driver.with(func(cell *planner.Cell, now cottonlanding.Millis) { cell.Reported(g.cell, answer, now) }); err != nil {
+			return // it isn't owned any more
+		}
+		kick(g.driver.decisionsDue)
+		if known {
+			return
+		}
+	}
+}
+
+// noteSilent logs when the cell gives no answer, and when it does again.
+func (g *guestCell) noteSilent(err error) {
+	silent := err != nil
+	if silent == g.silent {
+		return
+	}
+	g.silent = silent
+	if silent {
+		g.driver.deps.Log.Warn("guest cell does not answer", "Guest", g.cell, "Error", err)
+		return
+	}
+	g.driver.deps.Log.Info("guest cell answers", "Guest", g.cell)
+}
+
+// HoldGuests answers a cell about the tasks that this one is to run for it.
+func (d *Driver) HoldGuests(question planner.DelegationQuestion) (planner.DelegationAnswer, error) {
+	var answer planner.DelegationAnswer
+	err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { answer = cell.HoldGuests(question, now) })
+	if err == nil {
+		kick(d.decisionsDue)
+	}
+	return answer, err
+}
+
+// ForgottenGuests returns up to a number of guests about which nothing was asked for long, with the cells
+// that keep their workflows.
+func (d *Driver) ForgottenGuests(most int) map[cottonlanding.WorkflowID]cottonlanding.CellNumber {
+	var out map[cottonlanding.WorkflowID]cottonlanding.CellNumber
+	if err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { out = cell.ForgottenGuests(most, now) }); err != nil {
+		return nil // it isn't owned at present
+	}
+	return out
+}
+
+// SettleGuest takes in whether the workflow of a guest goes on.
+func (d *Driver) SettleGuest(id cottonlanding.WorkflowID, goesOn bool) {
+	if err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { cell.SettleGuest(id, goesOn, now) }); err != nil {
+		return // the next owner asks again
+	}
+	kick(d.decisionsDue)
+}
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -51,6 +51,8 @@
 
 // Dependencies are what a driver works with.
 type Dependencies struct {
+	// Cell is the one that is driven.
+	Cell    cottonlanding.CellNumber
 	Table   cottonlanding.Table
 	Workers cottonlanding.RunClient
 	Clock   cottonlanding.Clock
@@ -72,6 +74,10 @@
 	Move func(workflow cottonlanding.Workflow, report planner.Report, usable bool) (cottonlanding.CellNumber, bool)
 	// Deliver tells another cell of a workflow that it is to keep.
 	Deliver func(ctx context.Context, workflow cottonlanding.Workflow, to cottonlanding.CellNumber) error
+	// Delegate returns the cell that is to run a task which waits without room here.
+	Delegate func(planner.Delegable) (cottonlanding.CellNumber, bool)
+	// AskGuests asks another cell about the tasks that it is to run for this one.
+	AskGuests func(ctx context.Context, to cottonlanding.CellNumber, question planner.DelegationQuestion) (planner.DelegationAnswer, error)
 	// Home reports whether this cell is the home of a workflow.
 	Home func(cottonlanding.WorkflowID) bool
 	// Siblings returns the partitions of all other cells.
@@ -91,8 +97,9 @@
 	cell     *planner.Cell
 	attended map[cottonlanding.WorkerID]chan struct{}
 	listed   []cottonlanding.WorkerInfo
-	// movedAt is when it was last looked for workflows to hand over.
-	movedAt cottonlanding.Millis
+	// movedAt is when it was last looked for workflows to hand over, delegatedAt for tasks to delegate.
+	movedAt     cottonlanding.Millis
+	delegatedAt cottonlanding.Millis
 
 	committer *committer.Committer
 	outbox    *outbox
@@ -103,6 +110,9 @@
 	behind atomic.Bool
 	// reported is what was left of the cell after the last decision.
 	reported atomic.Pointer[reported]
+	// asksGuests says that other cells are asked about tasks that they run, guestsDue has that done soon.
+	asksGuests bool
+	guestsDue  chan struct{}
 	// decisionsDue and ordersDue wake the two loops before their next tick.
 	decisionsDue chan struct{}
 	ordersDue    chan struct{}
@@ -140,6 +150,7 @@
 		outbox:       newOutbox(),
 		cordon:       newCordon(deps),
 		meter:        newMeter(deps.Log),
+		guestsDue:    make(chan struct{}, 1),
 		decisionsDue: make(chan struct{}, 1),
 		ordersDue:    make(chan struct{}, 1),
 		stopping:     make(chan struct{}),
@@ -275,6 +286,7 @@
 	d.refresh(now)
 	d.cell.Decide(now, time.Now().UnixMilli())
 	d.handOver(now)
+	d.delegate(now)
 	plan := d.cell.Plan(now)
 	superseded := d.cell.Superseded()
 	report, usable := d.cell.Report(now)
@@ -293,6 +305,7 @@
 			}
 			return took, false
 		}
+		d.askGuestsSoon()
 	}
 	d.kickOrders()
 	took.ended = d.deps.Clock.Now()
--- a/internal/workflow/driver/load.go
+++ b/internal/workflow/driver/load.go
@@ -46,6 +46,10 @@
 	if err != nil {
 		return nil, err
 	}
+	guests, err := d.scan(planner.GuestsKey(d.setup.Partition), page)
+	if err != nil {
+		return nil, err
+	}
 	learnt, err := d.read(planner.LearntKey(d.setup.Partition))
 	if err != nil {
 		return nil, err
@@ -58,6 +62,9 @@
 	if err := cell.Load(specs, states, now); err != nil {
 		return nil, err
 	}
+	if err := cell.LoadGuests(guests, now); err != nil {
+		return nil, err
+	}
 	if err := cell.LoadReferrals(referrals, now); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/workflow/gateway/delegation.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/peer/messenger"
+	"github.com/cottonlanding/cottonlanding/internal/peer/wire"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// logUnhostedEvery is how often it is logged that no cell has room for a task.
+const logUnhostedEvery = 4 * cottonlanding.Second
+
+// delegate returns the cell that is to run a task for which this cell has no room.
+func (s *seat) delegate(task planner.Delegable) (cottonlanding.CellNumber, bool) {
+	policy := s.gateway.settings.Policy.Delegation
+	if policy == nil {
+		return 0, false
+	}
+	var candidates []cottonlanding.CellView
+	others := s.others()
+	for _, other := range others {
+		if other.obstacle(task) == noObstacle {
+			candidates = append(candidates, other.CellView)
+		}
+	}
+	if len(candidates) == 0 {
+		s.logUnhosted(task, others)
+		return 0, false
+	}
+	to, found := policy.Delegate(task.Ref, candidates)
+	if found {
+		s.gateway.seat(to).recordDelegated(task.Need.CPU, s.gateway.deps.Clock.Now())
+	}
+	return to, found
+}
+
+// obstacle is why a cell can't run a task of another one.
+type obstacle string
+
+const (
+	noObstacle obstacle = ""
+	// unknownRoom: the cell has no owner, or it hasn't told of its workers lately.
+	unknownRoom obstacle = "Unknown"
+	// returnedLately: the cell has returned the task.
+	returnedLately obstacle = "Returned"
+	// heldByLasting: lasting tasks hold or wait for all of its room.
+	heldByLasting obstacle = "HeldByLasting"
+	// noLargeWorker: none of its workers has enough room by itself.
+	noLargeWorker obstacle = "NoWorker"
+)
+
+// obstacle returns why the cell can't run a task of another one, or noObstacle.
+func (o otherCell) obstacle(task planner.Delegable) obstacle {
+	switch {
+	case !o.Usable:
+		return unknownRoom
+	case slices.Contains(task.Avoid, o.Cell):
+		return returnedLately
+	case !o.holds(task.Need.CPU):
+		return heldByLasting
+	case !task.Need.Fits(o.largest[task.Service]):
+		return noLargeWorker
+	}
+	return noObstacle
+}
+
+// logUnhosted logs from time to time why no other cell can run a task, with the cells by obstacle.
+func (s *seat) logUnhosted(task planner.Delegable, others []otherCell) {
+	now := s.gateway.deps.Clock.Now()
+	s.mu.Lock()
+	due := s.unhostedAt == 0 || now-s.unhostedAt >= logUnhostedEvery
+	if due {
+		s.unhostedAt = now
+	}
+	s.mu.Unlock()
+	if !due || len(others) == 0 {
+		return
+	}
+	cells := make(map[obstacle]int)
+	for _, other := range others {
+		cells[other.obstacle(task)]++
+	}
+	s.gateway.deps.Log.Info("no cell has room for a task", "Cell", s.cell, "Task", task.Ref.String(), "CPU", int64(task.Need.CPU), "Cells", cells)
+}
+
+// recordDelegated takes in that a task was delegated to this cell.
+func (s *seat) recordDelegated(cpu cottonlanding.Millicores, now cottonlanding.Millis) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.referred = append(s.referred, referredWork{at: now, delegated: cpu})
+}
+
+// askGuests asks another cell about the tasks that it is to run for this one.
+func (s *seat) askGuests(ctx context.Context, to cottonlanding.CellNumber, question planner.DelegationQuestion) (planner.DelegationAnswer, error) {
+	guest := s.gateway.seat(to)
+	if guest == nil {
+		return planner.DelegationAnswer{}, fmt.Errorf("cell %s isn't known here: %w", to, cottonlanding.ErrUnavailable)
+	}
+	if local := guest.local(); local != nil {
+		return local.HoldGuests(question)
+	}
+	data, err := json.Marshal(question)
+	if err != nil {
+		return planner.DelegationAnswer{}, fmt.Errorf("%w: %w", cottonlanding.ErrCannotRun, err)
+	}
+	var answer planner.DelegationAnswer
+	_, err = guest.ask(ctx, func(ctx context.Context, owner wire.WorkflowsClient) (*wire.WorkflowReply, error) {
+		reply, err := owner.Guests(ctx, &wire.GuestQuestion{Question: data, Cell: int32(to)})
+		if err != nil {
+			return nil, err
+		}
+		if reply.GetCode() == wire.Code_OK {
+			err = json.Unmarshal(reply.GetAnswer(), &answer)
+		}
+		return &wire.WorkflowReply{Code: reply.GetCode(), Detail: reply.GetDetail()}, err
+	})
+	return answer, err
+}
+
+// Guests implements wire.WorkflowsServer.
+func (s *peerServer) Guests(_ context.Context, request *wire.GuestQuestion) (*wire.GuestAnswer, error) {
+	answer, err := s.answerGuests(request)
+	out := &wire.GuestAnswer{Code: messenger.CodeOf(err), Answer: answer}
+	if err != nil {
+		out.Detail = err.Error()
+	}
+	return out, nil
+}
+
+func (s *peerServer) answerGuests(request *wire.GuestQuestion) ([]byte, error) {
+	var question planner.DelegationQuestion
+	if err := json.Unmarshal(request.GetQuestion(), &question); err != nil {
+		return nil, fmt.Errorf("%w: %w", cottonlanding.ErrCannotRun, err)
+	}
+	_, owner, err := s.owned(request.GetCell())
+	if err != nil {
+		return nil, err
+	}
+	answer, err := owner.HoldGuests(question)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(answer)
+}
--- a/internal/workflow/gateway/gauges.go
+++ b/internal/workflow/gateway/gauges.go
@@ -27,6 +27,7 @@
 		"workflows_convicted": counts.Convicted,
 		"runs_stuck":          counts.Stuck,
 		"runs_evicted":        counts.Evicted,
+		"tasks_delegated":     counts.Delegated,
 	} {
 		gauge(name, float64(count))
 	}
--- a/internal/workflow/gateway/interrupted_test.go
+++ b/internal/workflow/gateway/interrupted_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -35,3 +36,33 @@
 	d.crashOneOf(lasting)
 	require.Eventually(t, func() bool { return d.runner.Lasting() == lasting }, againWithin, 10*time.Millisecond, "other cells have room for what was lost")
 }
+
+// TestInterruptedTasksRunElsewhereWhileOwnersChange loses two workers of a full cell for good while all owners are
+// killed, some time after that. Seen: what was lost waited in its cell for good. It runs elsewhere in time,
+// each task once, and ends with its workflow.
+func TestInterruptedTasksRunElsewhereWhileOwnersChange(t *testing.T) {
+	for _, killedAfter := range []time.Duration{0, 300 * time.Millisecond, 1500 * time.Millisecond, 5 * time.Second} {
+		t.Run(killedAfter.String(), func(t *testing.T) {
+			t.Parallel()
+			d := deployCells(t, cells)
+			d.settled()
+			const lasting = 32
+			filling := lastingAt(0, "fills", lasting)
+			d.submit(0, filling)
+			require.Eventually(t, func() bool { return d.runner.Lasting() == lasting }, 10*time.Second, 10*time.Millisecond)
+			d.crashOneOf(lasting)
+			d.crashOneOf(d.runner.Lasting())
+			time.Sleep(killedAfter)
+			for host := range d.hosts {
+				d.kill(host)
+			}
+			require.Eventually(t, func() bool { return d.runner.Lasting() == lasting }, againWithin, 10*time.Millisecond, "other cells have room for what was lost")
+			require.Eventually(t, func() bool {
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				return d.hosts[0].Cancel(ctx, filling.ID) == nil
+			}, 10*time.Second, 10*time.Millisecond)
+			require.Eventually(t, func() bool { return d.runner.Running() == 0 }, 5*time.Second, 10*time.Millisecond, "nothing of it is left in any cell")
+		})
+	}
+}
--- a/internal/workflow/gateway/referrals.go
+++ b/internal/workflow/gateway/referrals.go
@@ -23,14 +23,28 @@
 			continue
 		}
 		for id, cell := range local.OldReferrals(referralsAtOnce) {
-			keeper := g.seat(cell)
-			if keeper == nil {
-				continue
+			if state, known := g.stateIn(ctx, cell, id); known {
+				local.SettleReferral(id, state != "")
 			}
-			_, err := keeper.state(ctx, id)
-			if err == nil || errors.Is(err, cottonlanding.ErrNotFound) {
-				local.SettleReferral(id, err == nil)
+		}
+		for id, cell := range local.ForgottenGuests(referralsAtOnce) {
+			if state, known := g.stateIn(ctx, cell, id); known {
+				local.SettleGuest(id, state != "" && !state.Final())
 			}
 		}
 	}
 }
+
+// stateIn returns the state of a workflow in the cell that keeps it, empty if that has forgotten it, and
+// whether that is known.
+func (g *Gateway) stateIn(ctx context.Context, cell cottonlanding.CellNumber, id cottonlanding.WorkflowID) (cottonlanding.WorkflowState, bool) {
+	keeper := g.seat(cell)
+	if keeper == nil {
+		return "", false
+	}
+	state, err := keeper.state(ctx, id)
+	if errors.Is(err, cottonlanding.ErrNotFound) {
+		return "", true
+	}
+	return state, err == nil
+}
--- a/internal/workflow/gateway/room.go
+++ b/internal/workflow/gateway/room.go
@@ -21,6 +21,8 @@
 	// reserved is those for which the work has room reserved, filling those that its filling
 	// tasks use; lasting is the part of reserved that its lasting tasks hold.
 	reserved, filling, lasting cottonlanding.Millicores
+	// delegated is what a lasting task asks for that was delegated there.
+	delegated cottonlanding.Millicores
 }
 
 // noteReferred takes in that a workflow was referred to this cell.
@@ -70,6 +72,8 @@
 	capacity cottonlanding.Millicores
 	// lasting is the part of it that lasting tasks hold or wait for.
 	lasting float64
+	// largest is what its worker with the most free processors has free, by service.
+	largest map[cottonlanding.ServiceName]cottonlanding.Resources
 }
 
 // less returns a cell without the room of what was referred here and may not be told of
@@ -84,7 +88,8 @@
 	for _, work := range s.referred {
 		cell.Free -= float64(homes) * float64(work.reserved) / float64(cell.capacity)
 		cell.Spare -= float64(homes) * float64(work.filling) / float64(cell.capacity)
-		cell.lasting += float64(homes) * float64(work.lasting) / float64(cell.capacity)
+		cell.lasting += (float64(homes)*float64(work.lasting) + float64(work.delegated)) / float64(cell.capacity)
+		cell.Free -= float64(work.delegated) / float64(cell.capacity) // few homes delegate at a time
 	}
 	return cell
 }
@@ -111,7 +116,7 @@
 // view returns what is known here of the room of another cell.
 func (s *seat) view(homes int, now cottonlanding.Millis) otherCell {
 	left, usable := s.left()
-	return s.less(otherCell{viewOf(s.cell, left, usable), left.Capacity, left.Lasting}, homes, now)
+	return s.less(otherCell{viewOf(s.cell, left, usable), left.Capacity, left.Lasting, left.Largest}, homes, now)
 }
 
 // holds reports whether the cell has room for lasting tasks, now or once shorter ones end.
--- a/internal/workflow/gateway/seat.go
+++ b/internal/workflow/gateway/seat.go
@@ -33,6 +33,8 @@
 	lastWaiting map[cottonlanding.QueueName]waitingCount
 	workers     cellWorkers
 	referred    []referredWork
+	// unhostedAt is when it was last logged that no cell has room for a task of this one.
+	unhostedAt cottonlanding.Millis
 }
 
 func newSeat(g *Gateway, cell cottonlanding.CellNumber, cells int) *seat {
@@ -99,6 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.driver = driver.New(driver.Dependencies{
+		Cell:        s.cell,
 		Table:       s.gateway.deps.Table,
 		Workers:     s.gateway.deps.Workers,
 		Clock:       s.gateway.deps.Clock,
@@ -111,6 +114,8 @@
 		Refer:       s.refer,
 		Move:        s.move,
 		Deliver:     s.deliver,
+		Delegate:    s.delegate,
+		AskGuests:   s.askGuests,
 		Home:        s.isHome,
 		Siblings:    s.siblings,
 		Lost:        s.holder.Lose,
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -72,6 +72,8 @@
 	// among them that are in no plan yet, with who waits for that.
 	referrals map[cottonlanding.WorkflowID]*referral
 	unwritten map[cottonlanding.WorkflowID][]func(error)
+	// away holds the workflows of which other cells may run tasks.
+	away map[cottonlanding.WorkflowID]*job
 	// report is what was left of the cell at reportedAt, if it had usable workers.
 	report     Report
 	reportable bool
@@ -126,6 +128,8 @@
 	Referred int64
 	// HandedOver counts workflows that waited and went to another cell.
 	HandedOver int64
+	// Delegated counts tasks that were delegated to another cell.
+	Delegated int64
 	// TakenBack counts runs that were taken back before their start was answered, because
 	// their worker may be given nothing any more.
 	TakenBack int64
@@ -144,6 +148,7 @@
 	c.Evicted += other.Evicted
 	c.Referred += other.Referred
 	c.HandedOver += other.HandedOver
+	c.Delegated += other.Delegated
 	c.TakenBack += other.TakenBack
 	if c.Ends == nil {
 		c.Ends = make(map[cottonlanding.EndKind]int64)
@@ -167,6 +172,7 @@
 		meanWork:    make(map[cottonlanding.QueueName]float64),
 		dirty:       make(map[cottonlanding.WorkflowID]*job),
 		replies:     make(map[cottonlanding.WorkflowID][]func(error)),
+		away:        make(map[cottonlanding.WorkflowID]*job),
 		referrals:   make(map[cottonlanding.WorkflowID]*referral),
 		unwritten:   make(map[cottonlanding.WorkflowID][]func(error)),
 		pressure:    newPressure(policy.Disturbance),
--- /dev/null
+++ b/internal/workflow/planner/delegation.go
@@ -0,0 +1,308 @@
+package planner
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// A lasting task that waits in a full cell is delegated: the cell that keeps its workflow, the
+// keeper, writes down which cell runs the task, and starts nothing of it from then on. The other
+// cell holds it as a guest (guest.go) and runs it under the task's own name, with run numbers above
+// all that the keeper has used.
+//
+// The two cells are in different partitions, which no transaction spans, so that a task passes over
+// in steps that each write one row. At most one cell may start it at any instant:
+//
+//   - The keeper's row names the guest cell. Only a return that the guest cell has committed
+//     changes that.
+//   - The guest cell takes a task under the run number that the keeper has written, and none below
+//     the number with which it has returned the task before. A late or repeated question of
+//     the keeper therefore changes nothing.
+//   - The guest cell starts a task only while the keeper has confirmed within confirmedFor that the
+//     workflow goes on. A run that goes on needs no confirmation.
+//
+// The keeper asks each guest cell again and again with all that it has delegated there, and the
+// answer says all that the guest cell knows of it. So lost questions, lost answers and changes of
+// owner on both sides need no steps of their own.
+
+const (
+	// delegateAfter is how long a task waits before it is delegated: long enough for runs that end to make
+	// room, and well below the time within which an interrupted task must run again.
+	delegateAfter = moveAfter
+	// avoidFor is how long a cell is passed over for a task that it has returned.
+	avoidFor = 5 * cottonlanding.Second
+	// delegatedPrefix begins the state of a task that another cell runs; the number of that cell follows.
+	// Code that doesn't know of delegation neither places nor ends such a task, and writes its state back.
+	delegatedPrefix = "L"
+)
+
+// DelegatedTask is a task as its keeper and its guest cell tell each other of it.
+type DelegatedTask struct {
+	Ref cottonlanding.TaskRef
+	// Number is that of the last run in the cell that tells. The other one starts above it.
+	Number cottonlanding.RunNumber
+	// Returned, in an answer, says that the guest cell has given the task back for good.
+	Returned bool `json:",omitempty"`
+	// Running, in an answer, says that the task has a run.
+	Running bool `json:",omitempty"`
+	// Waited, of a task that was returned, is how long it had waited by then.
+	Waited     cottonlanding.Millis      `json:",omitempty"`
+	Crashes    cottonlanding.CrashRecord `json:",omitzero"`
+	Checkpoint cottonlanding.Checkpoint  `json:",omitempty"`
+}
+
+// DelegatedWorkflow is what a keeper asks of the tasks of one workflow.
+type DelegatedWorkflow struct {
+	Workflow cottonlanding.Workflow
+	Queue    cottonlanding.Queue
+	// Over says that the workflow has ended: its tasks are to be stopped.
+	Over  bool `json:",omitempty"`
+	Tasks []DelegatedTask
+}
+
+// DelegationStamp is an instant of a guest cell's owner. The keeper sends it back with its next
+// question, which shows how old that can be at most.
+type DelegationStamp struct {
+	Epoch cottonlanding.Epoch
+	At    cottonlanding.Millis
+}
+
+// DelegationQuestion is what a keeper asks a guest cell.
+type DelegationQuestion struct {
+	Keeper cottonlanding.CellNumber
+	// Last is the stamp of the last answer that this keeper's owner got.
+	Last      DelegationStamp `json:",omitzero"`
+	Workflows []DelegatedWorkflow
+}
+
+// GuestReport is what a guest cell knows of a workflow that was asked about.
+type GuestReport struct {
+	ID cottonlanding.WorkflowID
+	// Ended says that the guest cell has ended what it held of the workflow, for good.
+	Ended bool `json:",omitempty"`
+	// Failed is why the guest cell has given the workflow up; empty if it hasn't.
+	Failed string `json:",omitempty"`
+	Tasks  []DelegatedTask
+}
+
+// DelegationAnswer is what a guest cell answers.
+type DelegationAnswer struct {
+	Stamp   DelegationStamp
+	Reports []GuestReport
+}
+
+// Delegable is a task that may be delegated.
+type Delegable struct {
+	Ref     cottonlanding.TaskRef
+	Service cottonlanding.ServiceName
+	Need    cottonlanding.Resources
+	// Avoid lists the cells that have returned the task lately.
+	Avoid []cottonlanding.CellNumber
+}
+
+// delegatedTo returns the state of a task that another cell runs.
+func delegatedTo(cell cottonlanding.CellNumber) taskState {
+	return taskState(delegatedPrefix + strconv.Itoa(int(cell)))
+}
+
+// guestCell returns the cell that runs the task, if that isn't this one.
+func (t *task) guestCell() (cottonlanding.CellNumber, bool) {
+	digits, found := strings.CutPrefix(string(t.state), delegatedPrefix)
+	if !found {
+		return 0, false
+	}
+	number, err := strconv.Atoi(digits)
+	return cottonlanding.CellNumber(number), err == nil
+}
+
+// setAway changes the state of a task without a run to or from one that isn't run here.
+func (t *task) setAway(state taskState) {
+	t.job.size.away += len(state) - len(t.state)
+	t.state = state
+}
+
+// Delegables returns up to a number of lasting tasks that wait without room here. Workflows of
+// which nothing has begun are left out where they can be handed over whole.
+func (c *Cell) Delegables(most int, home func(cottonlanding.WorkflowID) bool, now cottonlanding.Millis) []Delegable {
+	var out []Delegable
+	for _, j := range c.order {
+		if !j.lasts || !j.begun && home(j.ID) {
+			continue
+		}
+		var waiting []*task
+		j.eachTask(func(t *task) {
+			if len(out)+len(waiting) < most && t.delegable(now) {
+				waiting = append(waiting, t)
+			}
+		})
+		if len(waiting) == 0 || !c.mayDelegate(j) {
+			continue
+		}
+		for _, t := range waiting {
+			out = append(out, Delegable{Ref: t.ref, Service: j.queue.Service, Need: t.stage.Reserved(), Avoid: t.avoided(now)})
+		}
+	}
+	return out
+}
+
+// mayDelegate reports whether tasks of the workflow may go to other cells.
+func (c *Cell) mayDelegate(j *job) bool {
+	if _, known := c.queues.Queues[j.Queue]; !known {
+		return false // it is to run down
+	}
+	ends := j.state.Final() || j.Schedule.Rounds > 0 || j.isGuest()
+	return !ends && j.committed && stateFits(j.Workflow, widestLife)
+}
+
+// delegable reports whether the task waits without room for long enough.
+func (t *task) delegable(now cottonlanding.Millis) bool {
+	single := t.stage.Lasting && !t.stage.Fills && !t.stage.Gang
+	return single && t.stage.ready && t.state == taskWaiting && now-max(t.since, t.returnedAt) >= delegateAfter
+}
+
+// avoided returns the cells that have returned the task lately.
+func (t *task) avoided(now cottonlanding.Millis) []cottonlanding.CellNumber {
+	var out []cottonlanding.CellNumber
+	for cell, at := range t.returnedBy {
+		if now-at < avoidFor {
+			out = append(out, cell)
+		}
+	}
+	return out
+}
+
+// Delegate has another cell run a task that Delegables has returned just now.
+func (c *Cell) Delegate(ref cottonlanding.TaskRef, to cottonlanding.CellNumber, now cottonlanding.Millis) {
+	t := c.jobs[ref.Workflow].task(ref)
+	state := delegatedTo(to)
+	if !t.job.hasRoomForLives(len(state)) {
+		c.logRowFull(t, now)
+		return
+	}
+	t.setAway(state)
+	t.awayCommitted = false
+	c.away[t.job.ID] = t.job
+	c.touch(t.job)
+	c.reportedAt = 0
+	c.counts.Delegated++
+	c.log.Info("task delegated", "Task", ref.String(), "Run", t.number, "To", to, "Waited", now-t.since, "CPU", int64(t.stage.Reserved().CPU))
+}
+
+// Delegating reports whether other cells may run tasks of this one.
+func (c *Cell) Delegating() bool { return len(c.away) > 0 }
+
+// Delegations returns what to ask each cell that runs tasks of this one. Neither a delegation nor
+// the end of a workflow is told before it is committed.
+func (c *Cell) Delegations() map[cottonlanding.CellNumber][]DelegatedWorkflow {
+	out := make(map[cottonlanding.CellNumber][]DelegatedWorkflow)
+	for _, id := range slices.Sorted(maps.Keys(c.away)) {
+		j := c.away[id]
+		if j.state.Final() && !j.shown.Final() {
+			continue
+		}
+		for cell, tasks := range j.delegated() {
+			out[cell] = append(out[cell], DelegatedWorkflow{Workflow: j.Workflow, Queue: j.queue, Over: j.shown.Final(), Tasks: tasks})
+		}
+	}
+	return out
+}
+
+// delegated returns the job's tasks that other cells may run.
+func (j *job) delegated() map[cottonlanding.CellNumber][]DelegatedTask {
+	out := make(map[cottonlanding.CellNumber][]DelegatedTask)
+	j.eachTask(func(t *task) {
+		if cell, found := t.guestCell(); found && t.awayCommitted {
+			out[cell] = append(out[cell], DelegatedTask{Ref: t.ref, Number: t.number, Crashes: t.crashes, Checkpoint: t.checkpoint.text})
+		}
+	})
+	return out
+}
+
+// noteBack forgets that tasks of the job are in other cells once none is.
+func (c *Cell) noteBack(j *job) {
+	away := false
+	j.eachTask(func(t *task) {
+		_, found := t.guestCell()
+		away = away || found
+	})
+	if !away {
+		delete(c.away, j.ID)
+	}
+}
+
+// Reported takes in what a guest cell has answered.
+func (c *Cell) Reported(from cottonlanding.CellNumber, answer DelegationAnswer, now cottonlanding.Millis) {
+	for _, report := range answer.Reports {
+		j := c.jobs[report.ID]
+		if j == nil || j.isGuest() {
+			continue
+		}
+		if report.Failed != "" && !j.state.Final() {
+			c.counts.Failed++
+			c.end(j, cottonlanding.WorkflowFailed, report.Failed, now)
+		}
+		if report.Ended && j.state.Final() {
+			c.forgetDelegated(j, from)
+			continue
+		}
+		for _, told := range report.Tasks {
+			c.takeReport(j, from, told, now)
+		}
+	}
+}
+
+// forgetDelegated notes that a cell has ended what it held of a workflow that is over.
+func (c *Cell) forgetDelegated(j *job, cell cottonlanding.CellNumber) {
+	j.eachTask(func(t *task) {
+		if at, found := t.guestCell(); found && at == cell {
+			t.setAway(taskWaiting)
+			c.touch(j)
+		}
+	})
+	c.noteBack(j)
+}
+
+// takeReport takes in what a guest cell knows of a task.
+func (c *Cell) takeReport(j *job, from cottonlanding.CellNumber, told DelegatedTask, now cottonlanding.Millis) {
+	t := j.task(told.Ref)
+	if t == nil {
+		return
+	}
+	if at, found := t.guestCell(); !found || at != from || told.Number < t.number {
+		return // an answer that was overtaken
+	}
+	if told.Running {
+		c.noteDelegateRuns(j)
+	}
+	if !told.Returned || told.Number == t.number || j.state.Final() {
+		return // or the answer is about an earlier delegation
+	}
+	t.setAway(taskWaiting)
+	t.number, t.crashes = told.Number, told.Crashes
+	if told.Checkpoint != "" {
+		t.checkpoint = knownCheckpoint{text: told.Checkpoint, how: checkpointLoaded, run: told.Number, at: now}
+	}
+	if t.returnedBy == nil {
+		t.returnedBy = make(map[cottonlanding.CellNumber]cottonlanding.Millis)
+	}
+	t.returnedBy[from], t.returnedAt, t.since = now, now, now-told.Waited
+	c.touch(j)
+	c.noteBack(j)
+	c.log.Info("delegated task returned", "Task", t.ref.String(), "Run", t.number, "From", from, "Waited", now-t.since)
+}
+
+// noteDelegateRuns notes that a task of the workflow runs in another cell.
+func (c *Cell) noteDelegateRuns(j *job) {
+	if j.begun {
+		return
+	}
+	j.begun = true
+	if j.state == cottonlanding.WorkflowPending {
+		j.state = cottonlanding.WorkflowRunning
+	}
+	c.touch(j)
+}
--- /dev/null
+++ b/internal/workflow/planner/delegation_test.go
@@ -0,0 +1,500 @@
+package planner_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/policy/selector"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+const (
+	// startsUntil is how long after a cancellation was acknowledged a task may still start. Source: the
+	// users' rule on cancelled jobs.
+	startsUntil = 3 * cottonlanding.Second
+	// runsAgainWithin is how soon a lasting task must run where another cell has room. Source: the users' rule
+	// on lost tasks.
+	runsAgainWithin = 9 * cottonlanding.Second
+)
+
+// question is one that a keeper has sent, answer one that a guest cell has.
+type sentQuestion struct {
+	to       int
+	question planner.DelegationQuestion
+}
+
+type sentAnswer struct {
+	keeper, from int
+	answer       planner.DelegationAnswer
+}
+
+// neighbours plays several cells with one clock and one set of workers, each cell with rows and owners of
+// its own.
+type neighbours struct {
+	t       require.TestingT
+	cells   []*world
+	stamps  map[[2]int]planner.DelegationStamp
+	late    []sentQuestion
+	overdue []sentAnswer
+	// cancelledAt is when the cancellation of a workflow was acknowledged.
+	cancelledAt map[cottonlanding.WorkflowID]cottonlanding.Millis
+	broken      []string
+	// choose chooses where the tasks of a cell go that go well.
+	choose func(cell int) func(planner.Delegable) (int, bool)
+}
+
+func newNeighbours(t require.TestingT, count, workers int) *neighbours {
+	n := &neighbours{t: t, stamps: make(map[[2]int]planner.DelegationStamp), cancelledAt: make(map[cottonlanding.WorkflowID]cottonlanding.Millis)}
+	n.choose = n.roomy
+	for number := range count {
+		w := newWorldOf(t, selector.Default().Planner)
+		w.workers, w.lives = nil, 100*number
+		if number > 0 {
+			w.runner = n.cells[0].runner
+		}
+		for range workers {
+			w.addWorker()
+		}
+		w.started = func(order planner.Order) { n.checkStart(order) }
+		w.takeOver()
+		n.cells = append(n.cells, w)
+	}
+	return n
+}
+
+// checkStart holds a start against the cancellation of its workflow.
+func (n *neighbours) checkStart(order planner.Order) {
+	at, cancelled := n.cancelledAt[order.Start.Task.Workflow]
+	if cancelled && n.cells[0].now-at > startsUntil {
+		n.broken = append(n.broken, fmt.Sprintf("%s starts %d ms after its workflow was cancelled", order.Start.Task.String(), n.cells[0].now-at))
+	}
+}
+
+func (n *neighbours) wait(span cottonlanding.Millis) {
+	for _, w := range n.cells {
+		w.now += span
+	}
+}
+
+// syncClocks has all cells follow the one that is ahead.
+func (n *neighbours) syncClocks() {
+	latest := cottonlanding.Millis(0)
+	for _, w := range n.cells {
+		latest = max(latest, w.now)
+	}
+	for _, w := range n.cells {
+		w.now = latest
+	}
+}
+
+func (n *neighbours) cancel(cell int, id cottonlanding.WorkflowID) {
+	w := n.cells[cell]
+	w.cell.Cancel(id, w.now, func(err error) {
+		if _, known := n.cancelledAt[id]; err == nil && !known {
+			n.cancelledAt[id] = w.now
+		}
+	})
+}
+
+// takeOver gives a cell its next owner; what was on its way to the one before gets lost.
+func (n *neighbours) takeOver(cell int) {
+	n.cells[cell].takeOver()
+	for to := range n.cells {
+		delete(n.stamps, [2]int{cell, to})
+	}
+	n.overdue = slices.DeleteFunc(n.overdue, func(a sentAnswer) bool { return a.keeper == cell })
+}
+
+// delegate has a cell delegate what it may to a cell that is chosen for each task. No cell is a home, so that
+// workflows of which nothing has begun go this way as well.
+func (n *neighbours) delegate(cell int, choose func(planner.Delegable) (int, bool)) {
+	w := n.cells[cell]
+	for _, task := range w.cell.Delegables(100, func(cottonlanding.WorkflowID) bool { return false }, w.now) {
+		if to, found := choose(task); found {
+			w.cell.Delegate(task.Ref, cottonlanding.CellNumber(to), w.now)
+		}
+	}
+}
+
+// roomy chooses a cell of which a worker has room, as hosts do.
+func (n *neighbours) roomy(cell int) func(planner.Delegable) (int, bool) {
+	return func(task planner.Delegable) (int, bool) {
+		for at, w := range n.cells {
+			report, usable := w.cell.Report(w.now)
+			avoided := slices.Contains(task.Avoid, cottonlanding.CellNumber(at))
+			if at != cell && usable && !avoided && task.Need.Fits(report.Largest[task.Service]) {
+				return at, true
+			}
+		}
+		return 0, false
+	}
+}
+
+// ask asks the cells that run tasks of one; fault decides what becomes of each question.
+func (n *neighbours) ask(cell int, fault func() string) {
+	keeper := n.cells[cell]
+	asked := keeper.cell.Delegations()
+	for _, to := range slices.Sorted(maps.Keys(asked)) {
+		at := [2]int{cell, int(to)}
+		question := planner.DelegationQuestion{Keeper: cottonlanding.CellNumber(cell), Last: n.stamps[at], Workflows: asked[to]}
+		guest := n.cells[to]
+		switch fault() {
+		case "lost":
+		case "late":
+			n.late = append(n.late, sentQuestion{int(to), question})
+		case "unanswered":
+			guest.cell.HoldGuests(question, guest.now)
+		case "overdue":
+			n.overdue = append(n.overdue, sentAnswer{cell, int(to), guest.cell.HoldGuests(question, guest.now)})
+		default:
+			answer := guest.cell.HoldGuests(question, guest.now)
+			n.stamps[at] = answer.Stamp
+			keeper.cell.Reported(to, answer, keeper.now)
+		}
+	}
+}
+
+// turn lets all go well for a while.
+func (n *neighbours) turn(span cottonlanding.Millis) {
+	n.wait(span)
+	for cell, w := range n.cells {
+		w.turn(0)
+		n.delegate(cell, n.choose(cell))
+		w.turn(0)
+		n.ask(cell, func() string { return "" })
+	}
+}
+
+func (n *neighbours) check(t require.TestingT) {
+	require.Empty(t, n.cells[0].runner.Violations())
+	require.Empty(t, n.broken)
+}
+
+// deliverLate has everything arrive that was on its way.
+func (n *neighbours) deliverLate() {
+	for _, sent := range n.late {
+		n.cells[sent.to].cell.HoldGuests(sent.question, n.cells[sent.to].now)
+	}
+	for _, sent := range n.overdue {
+		n.cells[sent.keeper].cell.Reported(cottonlanding.CellNumber(sent.from), sent.answer, n.cells[sent.keeper].now)
+	}
+	n.late, n.overdue = nil, nil
+}
+
+var lastingCore = cottonlanding.Step{Tasks: 1, Resources: cottonlanding.Resources{CPU: 1000, Memory: cottonlanding.Gigabyte}, Lasting: true}
+
+func lastingCores(tasks int) cottonlanding.Step {
+	step := lastingCore
+	step.Tasks = tasks
+	return step
+}
+
+// TestDelegatedTasksRunOnceAndAreNotLost plays random histories of three cells: tasks are delegated to any cell,
+// with room or without; questions and answers get lost or come late; workers crash and fall silent; owners
+// change with a commit under way; workflows are cancelled. No task runs twice, none starts long after its
+// workflow was cancelled, each runs again in time once all goes well, and of a cancelled workflow
+// nothing is left in any cell.
+func TestDelegatedTasksRunOnceAndAreNotLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const mostTasks = 30 // of the 48 for which there is room while all workers are up
+		n := newNeighbours(t, 3, 2)
+		homes := make(map[cottonlanding.WorkflowID]int)
+		tasks := make(map[cottonlanding.WorkflowID]int)
+		const first, wide = cottonlanding.WorkflowID("l0"), 20 // for 16 of which the first cell has room
+		sum := wide
+		homes[first], tasks[first] = 0, wide
+		n.turn(100)
+		n.cells[0].submit(first, "Bulk", lastingCores(wide))
+		for range 8 {
+			n.cells[0].turn(100)
+			n.syncClocks()
+		}
+		cellOf := func(t *rapid.T) int { return rapid.IntRange(0, len(n.cells)-1).Draw(t, "Cell") }
+		fault := func() string {
+			return rapid.SampledFrom([]string{"", "", "", "", "lost", "late", "unanswered", "overdue"}).Draw(t, "Fault")
+		}
+		orderFault := func() string {
+			return rapid.SampledFrom([]string{"", "", "", "", "lost", "late", "unanswered"}).Draw(t, "OrderFault")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(t *rapid.T) {
+				step := lastingCores(rapid.IntRange(1, 12).Draw(t, "Tasks"))
+				if sum += step.Tasks; sum > mostTasks {
+					sum -= step.Tasks
+					return
+				}
+				id := cottonlanding.WorkflowID(fmt.Sprintf("l%d", len(homes)))
+				homes[id], tasks[id] = cellOf(t), step.Tasks
+				n.cells[homes[id]].submit(id, "Bulk", step)
+			},
+			"cancel": func(t *rapid.T) {
+				id := cottonlanding.WorkflowID(fmt.Sprintf("l%d", rapid.IntRange(0, 5).Draw(t, "Which")))
+				if home, known := homes[id]; known && rapid.IntRange(0, 3).Draw(t, "Really") == 0 {
+					n.cancel(home, id)
+				}
+			},
+			"wait": func(t *rapid.T) { n.wait(cottonlanding.Millis(rapid.IntRange(10, 2500).Draw(t, "Wait"))) },
+			"turn": func(*rapid.T) { n.turn(100) },
+			"turnOne": func(t *rapid.T) {
+				n.cells[cellOf(t)].turn(100)
+				n.syncClocks()
+			},
+			"delegate": func(t *rapid.T) {
+				cell := cellOf(t)
+				n.delegate(cell, func(planner.Delegable) (int, bool) {
+					to := cellOf(t)
+					return to, to != cell
+				})
+			},
+			"ask":    func(t *rapid.T) { n.ask(cellOf(t), fault) },
+			"askAll": func(*rapid.T) { n.ask(0, fault); n.ask(1, fault); n.ask(2, fault) },
+			"lateQuestion": func(t *rapid.T) {
+				if len(n.late) > 0 {
+					at := rapid.IntRange(0, len(n.late)-1).Draw(t, "Which")
+					sent := n.late[at]
+					n.cells[sent.to].cell.HoldGuests(sent.question, n.cells[sent.to].now)
+					if rapid.Bool().Draw(t, "Once") {
+						n.late = slices.Delete(n.late, at, at+1)
+					}
+				}
+			},
+			"lateAnswer": func(*rapid.T) {
+				if len(n.overdue) > 0 {
+					sent := n.overdue[0]
+					n.overdue = n.overdue[1:]
+					n.cells[sent.keeper].cell.Reported(cottonlanding.CellNumber(sent.from), sent.answer, n.cells[sent.keeper].now)
+				}
+			},
+			"begin":  func(t *rapid.T) { n.cells[cellOf(t)].begin() },
+			"commit": func(t *rapid.T) { n.cells[cellOf(t)].commit() },
+			"commitUnanswered": func(t *rapid.T) {
+				cell := cellOf(t)
+				if w := n.cells[cell]; w.plan != nil {
+					w.apply()
+					n.takeOver(cell)
+				}
+			},
+			"takeOver": func(t *rapid.T) { n.takeOver(cellOf(t)) },
+			"orders":   func(t *rapid.T) { n.cells[cellOf(t)].orders(orderFault) },
+			"looks":    func(t *rapid.T) { n.cells[cellOf(t)].lookAll() },
+			"crash": func(t *rapid.T) {
+				w := n.cells[cellOf(t)]
+				at := rapid.IntRange(0, len(w.workers)-1).Draw(t, "Worker")
+				w.runner.Crash(w.workers[at].ID)
+				w.workers = slices.Delete(slices.Clone(w.workers), at, at+1)
+				w.addWorker()
+				w.cell.SetWorkers(slices.Clone(w.workers), w.now)
+			},
+			"dark": func(t *rapid.T) {
+				w := n.cells[cellOf(t)]
+				at := rapid.IntRange(0, len(w.workers)-1).Draw(t, "Worker")
+				w.runner.Dark(w.workers[at].ID, rapid.Bool().Draw(t, "Dark"))
+			},
+			"": func(t *rapid.T) { n.check(t) },
+		})
+		n.deliverLate()
+		for _, w := range n.cells {
+			for _, worker := range w.workers {
+				w.runner.Dark(worker.ID, false)
+			}
+			for _, order := range w.late {
+				_, _ = w.send(order)
+			}
+			w.late = nil
+		}
+		for range 4 * runsAgainWithin / 100 { // leases may have to run out first
+			n.turn(100)
+			n.check(t)
+		}
+		expected := 0
+		for id, home := range homes {
+			state, known := n.cells[home].cell.State(id)
+			if known && !state.Final() {
+				expected += tasks[id]
+			}
+		}
+		require.Equal(t, expected, n.cells[0].runner.Lasting(), "each task runs once")
+		for id, home := range homes {
+			n.cancel(home, id)
+		}
+		for range 100 {
+			n.turn(100)
+			n.check(t)
+		}
+		require.Zero(t, n.cells[0].runner.Running(), "nothing is left of cancelled workflows")
+		for _, w := range n.cells {
+			require.False(t, w.cell.Delegating())
+		}
+	})
+}
+
+// TestInterruptedTaskLeavesAFullCell: a lasting task that lost its worker waited in its full cell for good, beside
+// cells with room. It runs there in time, also if owners on both sides change meanwhile.
+func TestInterruptedTaskLeavesAFullCell(t *testing.T) {
+	for at := 60; at < 90; at++ { // from just before the lease of the lost worker runs out
+		change := at % 3
+		n := newNeighbours(t, 2, 2)
+		n.turn(100)
+		n.cells[0].submit("l", "Bulk", lastingCores(16)) // all of its cell
+		for range 5 {
+			n.turn(100)
+		}
+		require.Equal(t, 16, n.cells[0].runner.Lasting())
+		n.cells[0].runner.Crash(n.cells[0].workers[0].ID)
+		turns := 0
+		for ; n.cells[0].runner.Lasting() < 16; turns++ {
+			require.Less(t, cottonlanding.Millis(100*turns), timing.Lease+runsAgainWithin, "owner changed: %d", change)
+			n.turn(100)
+			if turns == at && change < len(n.cells) {
+				n.takeOver(change)
+			}
+		}
+		n.check(t)
+	}
+}
+
+// TestTaskComesBackFromAFullGuestCell: a cell to which a task was delegated has no room for it by then. The task
+// goes back at once and runs in a third cell, with a number above all before.
+func TestTaskComesBackFromAFullGuestCell(t *testing.T) {
+	n := newNeighbours(t, 3, 2)
+	n.turn(100)
+	n.cells[0].submit("l", "Bulk", lastingCores(16))
+	n.cells[1].submit("lfull", "Bulk", lastingCores(16))
+	for range 5 {
+		n.turn(100)
+	}
+	require.Equal(t, 32, n.cells[0].runner.Lasting())
+	n.cells[0].runner.Crash(n.cells[0].workers[0].ID)
+	chosen := n.choose
+	sent := 0
+	n.choose = func(cell int) func(planner.Delegable) (int, bool) {
+		return func(task planner.Delegable) (int, bool) {
+			if sent == 8 {
+				return chosen(cell)(task)
+			}
+			sent++
+			return 1, true
+		}
+	}
+	for turns := 0; n.cells[0].runner.Lasting() < 32; turns++ {
+		require.Less(t, cottonlanding.Millis(100*turns), timing.Lease+runsAgainWithin)
+		n.turn(100)
+	}
+	require.Equal(t, 8, sent)
+	n.check(t)
+}
+
+// delegated returns two cells of which the second has been asked to run four tasks of the first, and the question.
+func delegated(t *testing.T) (*neighbours, planner.DelegationQuestion) {
+	n := newNeighbours(t, 2, 2)
+	n.turn(100)
+	n.cells[0].submit("l", "Bulk", lastingCores(20)) // for 16 of which there is room
+	for range 12 {
+		n.cells[0].turn(100)
+		n.syncClocks()
+	}
+	n.delegate(0, func(planner.Delegable) (int, bool) { return 1, true })
+	n.cells[0].commit()
+	asked := n.cells[0].cell.Delegations()[1]
+	require.Len(t, asked, 1)
+	require.Len(t, asked[0].Tasks, 4)
+	return n, planner.DelegationQuestion{Keeper: 0, Workflows: asked}
+}
+
+// runsIn counts the runs on a cell's workers.
+func (n *neighbours) runsIn(cell int) int {
+	sum := 0
+	for _, worker := range n.cells[cell].workers {
+		sum += n.cells[cell].runner.RunsOn(worker.ID)
+	}
+	return sum
+}
+
+// answerOf has the second cell answer a question, and tells the first.
+func (n *neighbours) answerOf(question planner.DelegationQuestion) planner.DelegationAnswer {
+	answer := n.cells[1].cell.HoldGuests(question, n.cells[1].now)
+	n.cells[0].cell.Reported(1, answer, n.cells[0].now)
+	return answer
+}
+
+// TestQuestionThatComesLateTakesNothingAgain: a task that a cell has returned isn't taken by it again for a question
+// from before that: its keeper may have started it by then.
+func TestQuestionThatComesLateTakesNothingAgain(t *testing.T) {
+	n, question := delegated(t)
+	n.cells[1].submit("lfull", "Bulk", lastingCores(16))
+	n.cells[1].turn(100)
+	n.cells[1].turn(100)
+	question.Last = n.answerOf(question).Stamp
+	n.answerOf(question) // it goes on
+	n.cells[1].turn(cottonlanding.Second)
+	question.Last = n.answerOf(question).Stamp
+	n.cells[1].turn(cottonlanding.Second) // it is too long without room
+	n.cells[1].turn(100)
+	returned := n.answerOf(question)
+	require.Len(t, returned.Reports[0].Tasks, 4)
+	require.True(t, returned.Reports[0].Tasks[0].Returned)
+	n.cells[1].cell.Cancel("lfull", n.cells[1].now, func(error) {})
+	n.syncClocks()
+	for range 10 {
+		n.cells[1].turn(100)
+		question.Last = n.cells[1].cell.HoldGuests(question, n.cells[1].now).Stamp
+	}
+	require.Equal(t, 16, n.cells[0].runner.Lasting(), "only those of the first cell run")
+}
+
+// TestReturnIsToldOnceItIsCommitted: an owner that is gone before it has committed a return has told nobody of it;
+// the next one runs the task.
+func TestReturnIsToldOnceItIsCommitted(t *testing.T) {
+	n, question := delegated(t)
+	n.cells[1].submit("lfull", "Bulk", lastingCores(16))
+	n.cells[1].turn(100)
+	n.cells[1].turn(100)
+	question.Last = n.answerOf(question).Stamp
+	n.answerOf(question)
+	n.cells[1].commit()
+	n.cells[1].now += cottonlanding.Second
+	question.Last = n.answerOf(question).Stamp
+	n.answerOf(question)
+	n.cells[1].begin() // with the return
+	for _, report := range n.answerOf(question).Reports {
+		require.Empty(t, report.Tasks)
+	}
+	n.cells[1].apply()
+	n.takeOver(1)
+	require.True(t, n.answerOf(question).Reports[0].Tasks[0].Returned)
+}
+
+// TestGuestStartsOnlyWhileItsKeeperConfirms: a keeper that has fallen silent may have cancelled its workflow. What
+// runs goes on; what is interrupted waits.
+func TestGuestStartsOnlyWhileItsKeeperConfirms(t *testing.T) {
+	n, question := delegated(t)
+	for range 3 {
+		question.Last = n.answerOf(question).Stamp
+		n.cells[1].turn(100)
+	}
+	require.Equal(t, 4, n.runsIn(1))
+	n.cells[1].now += 2 * cottonlanding.Second
+	id := n.cells[1].workers[0].ID
+	n.cells[0].runner.Crash(id)
+	n.cells[1].workers = n.cells[1].workers[1:]
+	n.cells[1].addWorker()
+	n.cells[1].cell.SetWorkers(slices.Clone(n.cells[1].workers), n.cells[1].now)
+	left := n.runsIn(1)
+	require.Less(t, left, 4)
+	for range 20 + timing.Lease/100 {
+		n.cells[1].turn(100)
+	}
+	require.Equal(t, left, n.runsIn(1))
+	n.syncClocks()
+	for range 3 {
+		question.Last = n.answerOf(question).Stamp
+		n.cells[1].turn(100)
+	}
+	require.Equal(t, 4, n.runsIn(1), "once the keeper is heard of")
+}
--- a/internal/workflow/planner/gang.go
+++ b/internal/workflow/planner/gang.go
@@ -54,7 +54,7 @@
 		chosen = append(chosen, w)
 	}
 	if !s.tasks[0].job.hasRoomForLives(livesBytes(chosen)) {
-		c.tellRowFull(s.tasks[0], now)
+		c.logRowFull(s.tasks[0], now)
 		return false
 	}
 	for i, t := range s.tasks {
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -44,6 +44,10 @@
 	// spec is the row that never changes until it is committed, specVersion its version then.
 	spec        []byte
 	specVersion cottonlanding.Version
+	// guestOf is the cell that keeps the workflow, if this one only runs tasks for it, confirmedAt when
+	// that cell last said for sure that the workflow goes on.
+	guestOf     *cottonlanding.CellNumber
+	confirmedAt cottonlanding.Millis
 }
 
 // round is one repetition of a job's steps.
@@ -101,6 +105,11 @@
 	failedOn []cottonlanding.Life
 	// roomUntil is how long the task waits for room that is being made.
 	roomUntil cottonlanding.Millis
+	// awayCommitted says that the row which names the task's guest cell is committed. returnedBy holds the
+	// cells that have returned the task, and when, returnedAt the last of these instants.
+	awayCommitted bool
+	returnedBy    map[cottonlanding.CellNumber]cottonlanding.Millis
+	returnedAt    cottonlanding.Millis
 }
 
 func newJob(workflow cottonlanding.Workflow, queue cottonlanding.Queue, now cottonlanding.Millis) *job {
@@ -203,7 +212,11 @@
 // Submit accepts a workflow. done is called once the acceptance is committed or
 // can't be. A workflow that was accepted before is accepted again.
 func (c *Cell) Submit(workflow cottonlanding.Workflow, now cottonlanding.Millis, done func(error)) {
-	if c.jobs[workflow.ID] != nil {
+	if known := c.jobs[workflow.ID]; known != nil {
+		if known.isGuest() {
+			done(fmt.Errorf("cell %s keeps workflow %s: %w", known.guestOf, workflow.ID, cottonlanding.ErrUnavailable))
+			return
+		}
 		c.whenCommitted(workflow.ID, done)
 		return
 	}
@@ -236,7 +249,15 @@
 }
 
 // Knows reports whether a workflow was handed in before, accepted or not yet.
-func (c *Cell) Knows(id cottonlanding.WorkflowID) bool { return c.jobs[id] != nil }
+func (c *Cell) Knows(id cottonlanding.WorkflowID) bool { return c.kept(id) != nil }
+
+// kept returns a workflow that this cell keeps, or nil.
+func (c *Cell) kept(id cottonlanding.WorkflowID) *job {
+	if j := c.jobs[id]; j != nil && !j.isGuest() {
+		return j
+	}
+	return nil
+}
 
 func (c *Cell) addJob(j *job) {
 	c.weighs = c.weighs || j.namesImages()
@@ -276,7 +297,7 @@
 		done(fmt.Errorf("workflow %s is being handed over: %w", id, cottonlanding.ErrUnavailable))
 		return
 	}
-	j := c.jobs[id]
+	j := c.kept(id)
 	if j == nil {
 		done(fmt.Errorf("workflow %s: %w", id, cottonlanding.ErrNotFound))
 		return
@@ -293,7 +314,7 @@
 	if c.Pending(id) {
 		return cottonlanding.WorkflowPending, true
 	}
-	j := c.jobs[id]
+	j := c.kept(id)
 	if j == nil || !j.committed {
 		return "", false
 	}
@@ -321,21 +342,21 @@
 	})
 	c.order = slices.DeleteFunc(c.order, func(other *job) bool { return other == j })
 	c.touch(j)
-	c.log.Info("workflow ended", "Workflow", j.ID, "State", state, "Reason", reason, "After", now-j.accepted)
+	c.log.Info(j.endedLine(), "Workflow", j.ID, "State", state, "Reason", reason, "After", now-j.accepted)
 }
 
 // prune forgets workflows that were final for long enough, and what they have waited for.
 func (c *Cell) prune(now cottonlanding.Millis) {
 	c.pruneOpen(now)
 	for _, j := range c.jobs {
-		if j.state.Final() && j.committed && now-j.ended > c.timing.Retention && c.dirty[j.ID] == nil {
+		if j.committed && c.expired(j, now) && c.dirty[j.ID] == nil {
 			c.touch(j)
 		}
 	}
 }
 
 func (c *Cell) expired(j *job, now cottonlanding.Millis) bool {
-	return j.state.Final() && now-j.ended > c.timing.Retention
+	return j.state.Final() && now-j.ended > c.timing.Retention && c.away[j.ID] == nil
 }
 
 // namesImages reports whether a step of the workflow names what its tasks run.
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -58,7 +58,7 @@
 	for number := len(j.rounds); number < state.Rounds.Begun; number++ {
 		j.addRound(number, now)
 	}
-	j.state, j.reason, j.begun = state.State, state.Reason, state.Begun
+	j.state, j.reason, j.begun, j.guestOf = state.State, state.Reason, state.Begun, state.GuestOf
 	j.committed, j.shown = true, state.State
 	j.version, j.specVersion = stateAt.Version, specAt.Version
 	if j.state.Final() {
@@ -74,6 +74,7 @@
 	})
 	for _, r := range j.rounds {
 		r.unlock(now)
+		r.unlockGuests()
 	}
 	if !j.state.Final() {
 		j.shrinkRounds()
@@ -98,6 +99,13 @@
 
 func (c *Cell) loadTask(t *task, row taskRow, now cottonlanding.Millis) {
 	t.state, t.number, t.failures = row.State, row.Number, row.Failures
+	if t.away() {
+		t.job.size.away += len(t.state)
+		t.awayCommitted = true
+	}
+	if _, found := t.guestCell(); found {
+		c.away[t.job.ID] = t.job
+	}
 	t.setLife(row.Life)
 	t.loadCheckpoint(row, now)
 	t.crashes = cottonlanding.CrashRecord{Losses: row.Losses, Crashes: row.Crashes}
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -133,7 +133,7 @@
 		return order, c.stopDue(w, r, now)
 	case r.ordered || now < r.nextTry || w.reading == 0:
 		return Order{}, false
-	case r.phase < started && (c.startsHeld || w.cordoned() || !w.reachable(now)):
+	case r.phase < started && (c.startsHeld || w.cordoned() || !w.reachable(now) || !r.task.job.mayStart(now)):
 		// A lease that has passed by this life's clock may be valid by the next one's.
 		return Order{}, false
 	case r.phase == cleared || r.phase == sent:
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -33,6 +33,7 @@
 	c.leaveDraining(now)
 	c.beginRounds(now, wall)
 	c.place(now)
+	c.returnGuests(now)
 	c.prune(now)
 	c.logSummary(now)
 }
@@ -106,7 +107,7 @@
 			return placed // the others of the step need the same
 		}
 		if !t.job.hasRoomForLives(lifeBytes(w.life())) {
-			c.tellRowFull(t, now)
+			c.logRowFull(t, now)
 			return placed
 		}
 		c.assign(t, w, t.number+1, now)
@@ -147,7 +148,7 @@
 	}
 	t.stage.noRoomAt = now + noRoomPause
 	if !t.job.hasRoomForLives(widestLife) {
-		c.tellRowFull(t, now)
+		c.logRowFull(t, now)
 		return // nothing is to give way for a task that may not be placed
 	}
 	c.makeRoom(t, now)
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -46,10 +46,12 @@
 // that are left out it has none: they are done.
 type stateRow struct {
 	State  cottonlanding.WorkflowState
-	Reason string     `json:",omitempty"`
-	Begun  bool       `json:",omitempty"`
-	Rounds roundCount `json:",omitzero"`
-	Tasks  []taskRow  `json:",omitempty"`
+	Reason string `json:",omitempty"`
+	Begun  bool   `json:",omitempty"`
+	// GuestOf is the cell that keeps the workflow, in a guest's row.
+	GuestOf *cottonlanding.CellNumber `json:",omitempty"`
+	Rounds  roundCount                `json:",omitzero"`
+	Tasks   []taskRow                 `json:",omitempty"`
 }
 
 // taskRow is written as a list of its fields without the zeros at its end: a row has
@@ -119,6 +121,8 @@
 	states  []cottonlanding.WorkflowState
 	deleted []bool
 	runs    []*run
+	// away holds the tasks whose guest cells the rows name.
+	away    []*task
 	replies []func(error)
 	// seen holds the ends whose consequences are committed with this plan.
 	seen map[*worker]uint64
@@ -195,7 +199,7 @@
 func (c *Cell) overdue(j *job) bool { return c.plans-j.dirtySince > overdueAfter }
 
 func (c *Cell) planJob(plan *Plan, j *job, now cottonlanding.Millis) {
-	spec, state := SpecKey(c.setup.Partition, j.ID), StateKey(c.setup.Partition, j.ID)
+	spec, state := c.rowKeys(j)
 	gone := c.expired(j, now)
 	plan.jobs = append(plan.jobs, j)
 	plan.states = append(plan.states, j.state)
@@ -214,6 +218,9 @@
 		if t.run != nil && t.run.phase == planned {
 			plan.runs = append(plan.runs, t.run)
 		}
+		if _, found := t.guestCell(); found {
+			plan.away = append(plan.away, t)
+		}
 	})
 }
 
@@ -238,7 +245,7 @@
 // row returns the job's state for its row. Of a job that has succeeded no tasks are kept; those
 // of one that failed or was cancelled may still run.
 func (j *job) row() stateRow {
-	row := stateRow{State: j.state, Reason: shortened(j.reason), Begun: j.begun, Rounds: roundCount{Begun: len(j.rounds)}}
+	row := stateRow{State: j.state, Reason: shortened(j.reason), Begun: j.begun, GuestOf: j.guestOf, Rounds: roundCount{Begun: len(j.rounds)}}
 	if j.state == cottonlanding.WorkflowSucceeded {
 		return row
 	}
@@ -296,6 +303,9 @@
 			r.worker.ordersDue = true
 		}
 	}
+	for _, t := range plan.away {
+		t.awayCommitted = true
+	}
 	c.noteReferred(plan.referred, version)
 	if plan.learnt {
 		c.learntVersion = version
--- a/internal/workflow/planner/policy.go
+++ b/internal/workflow/planner/policy.go
@@ -17,6 +17,8 @@
 	Ranking cottonlanding.RankingPolicy
 	// Blame decides which tasks crash their workers.
 	Blame cottonlanding.BlamePolicy
+	// Delegation decides which cell runs a lasting task for which this one has no room; nil is none.
+	Delegation cottonlanding.DelegationPolicy
 	// KeepsTogether says that tasks of a workflow that don't last go to one data centre if
 	// that has room, rather than wherever there is.
 	KeepsTogether bool
--- a/internal/workflow/planner/report.go
+++ b/internal/workflow/planner/report.go
@@ -19,6 +19,9 @@
 	Lasting float64
 	// Capacity is the processors of the usable workers.
 	Capacity cottonlanding.Millicores
+	// Largest is what the worker with the most free processors has free, by service. Owners of older
+	// code don't tell it, so that nothing is delegated to them.
+	Largest map[cottonlanding.ServiceName]cottonlanding.Resources `json:",omitempty"`
 }
 
 // Report returns what is left of the cell, and false for one without usable workers.
@@ -32,6 +35,7 @@
 
 func (c *Cell) workOutReport(now cottonlanding.Millis) (Report, bool) {
 	var capacity, free, spare, lasting cottonlanding.Millicores
+	largest := make(map[cottonlanding.ServiceName]cottonlanding.Resources)
 	for _, w := range c.sortedWorkers() {
 		if !w.usable(now) {
 			continue
@@ -41,6 +45,9 @@
 		free += max(room.free.CPU, 0)
 		spare += max(room.spare, 0)
 		lasting += w.info.Capacity.CPU - w.passing().CPU
+		if room.free.CPU > largest[w.info.Service].CPU && !w.kept(now) {
+			largest[w.info.Service] = room.free
+		}
 	}
 	if capacity == 0 {
 		return Report{}, false
@@ -68,5 +75,6 @@
 		Spare:    float64(spare) / float64(capacity),
 		Lasting:  float64(lasting) / float64(capacity),
 		Capacity: capacity,
+		Largest:  largest,
 	}, true
 }
--- a/internal/workflow/planner/rowsize.go
+++ b/internal/workflow/planner/rowsize.go
@@ -42,11 +42,13 @@
 	// lives is what the lives of the workers take on which tasks are placed, open what those take
 	// that tasks have left open, in bytes.
 	lives, open int
+	// away is what the states of tasks take that aren't run here, in bytes.
+	away int
 }
 
 // bytes returns the most that the row takes.
 func (s rowSize) bytes() int {
-	return headBytes + s.undone*waitingBytes + s.done*doneBytes + s.lives + s.open
+	return headBytes + s.undone*waitingBytes + s.done*doneBytes + s.lives + s.open + s.away
 }
 
 // usualBytes returns what the row takes if all tasks that aren't done run on workers with ids of
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -19,6 +19,9 @@
 	c.rankAll(now)
 	slices.SortStableFunc(c.order, compareRanks)
 	for _, j := range c.order {
+		if !j.mayStart(now) {
+			continue
+		}
 		for number := range len(j.rounds) {
 			for _, s := range j.rounds[number].steps {
 				if s.ready && !s.finished() && s.anyWaiting() {
@@ -91,9 +94,9 @@
 	return true
 }
 
-// tellRowFull logs that a task waits although a worker has room: with it the workflow's row might
+// logRowFull logs that a task waits although a worker has room: with it the workflow's row might
 // be longer than the table takes.
-func (c *Cell) tellRowFull(t *task, now cottonlanding.Millis) {
+func (c *Cell) logRowFull(t *task, now cottonlanding.Millis) {
 	if t.tellsWaiting(now) {
 		c.log.Warn("step waits for room in the workflow's row", "Task", t.ref.String(), "Waited", now-t.since, "Bytes", t.job.size.bytes(), "Most", maxRow)
 	}
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -72,6 +72,8 @@
 	// that takes.
 	culprits   map[cottonlanding.TaskRef]bool
 	crashAfter cottonlanding.Millis
+	// started is called for each start that goes out, unless it is nil.
+	started func(planner.Order)
 	// texts has workers list checkpoints and watches what starts bring, unless it is nil.
 	texts *textBook
 }
@@ -153,6 +155,7 @@
 	w.cell.SetQueues(w.queues)
 	w.cell.SetWorkers(slices.Clone(w.workers), w.now)
 	require.NoError(w.t, w.cell.Load(w.scan(planner.SpecKey(partition, "")), w.scan(planner.StateKey(partition, "")), w.now))
+	require.NoError(w.t, w.cell.LoadGuests(w.scan(planner.GuestsKey(partition)), w.now))
 }
 
 func (w *world) scan(prefix cottonlanding.Key) []cottonlanding.Row {
@@ -206,6 +209,9 @@
 	ctx := context.Background()
 	switch order.Verb {
 	case planner.VerbStart:
+		if w.started != nil {
+			w.started(order)
+		}
 		if w.texts != nil {
 			order.Start.Checkpoint = "" // the book has listed it, and holds each start against that; the runner has made none
 		}
--- a/policy.go
+++ b/policy.go
@@ -110,6 +110,13 @@
 	Refer(workflow Workflow, home CellView, others []CellView) (CellNumber, bool)
 }
 
+// DelegationPolicy picks the cell that runs a lasting task for which its own cell has no room.
+type DelegationPolicy interface {
+	// Delegate returns one of the candidates, each of which has room for the task, and whether
+	// the task is to go there.
+	Delegate(task TaskRef, candidates []CellView) (CellNumber, bool)
+}
+
 // RankView is what is known of a workflow that isn't done, by its client's estimates.
 type RankView struct {
 	// Age is how long ago the workflow was accepted, Objective in which time it should be
