A worker that answers looks at once isn't asked without end

What callers saw: with one processor, cancellations took longer with each workflow that was cancelled, until one wasn't acknowledged within ten seconds (TestWaitingWorkflowsMove with -cpu 1, red in 8 of 11 runs).

Cause: an owner looked at a worker again as soon as it had answered. A look lets the worker hold back its answer, but one that doesn't was asked 255,146 times a second (16 workers, counted); 30 % of the processor time of the red run went there.

Ruled out: work that grows with final workflows; none of the paths of a cancellation goes through them.

Change: 50 ms between two looks that may wait, unless an end was told.

Why it holds: what a worker has to tell at once is an end, and after that the owner asks as before.

--- a/internal/workflow/driver/attendant.go
+++ b/internal/workflow/driver/attendant.go
@@ -8,6 +8,11 @@
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
+// lookSpacing is the least time between two looks at a worker that may hold back its answers, unless it has
+// told of an end. One that answers such looks at once would be asked thousands of times a second,
+// and the looks of a few of them leave a small host no time for its callers.
+const lookSpacing = 50 * cottonlanding.Millis(1)
+
 // attend looks at one worker again and again until the worker is gone.
 func (d *Driver) attend(id cottonlanding.WorkerID, wake chan struct{}) {
 	defer func() {
@@ -25,7 +30,10 @@
 		case next.After > 0:
 			d.await(wake, next.After)
 		case next.Look.Wait > 0:
-			d.look(next)
+			sentAt := d.deps.Clock.Now()
+			if ends, _ := d.look(next); ends == 0 {
+				d.await(wake, sentAt+lookSpacing-d.deps.Clock.Now())
+			}
 		default:
 			d.lookInTurn(id)
 		}
@@ -51,7 +59,7 @@
 		return
 	}
 	began := d.deps.Clock.Now()
-	if d.look(next) {
+	if _, answered := d.look(next); answered {
 		d.promptTook.Store(int64(d.deps.Clock.Now() - began))
 	}
 }
@@ -128,27 +136,27 @@
 	}
 }
 
-// look asks a worker and tells the cell, and reports whether it answered. What the
-// answer means holds from when it came: a decision may hold the cell for long after.
-func (d *Driver) look(next planner.NextLook) bool {
+// look asks a worker and tells the cell. It returns how many ends the answer lists, and whether there was one. What
+// the answer means holds from when it came: a decision may hold the cell for long after.
+func (d *Driver) look(next planner.NextLook) (ends int, answered bool) {
 	ctx, cancel := context.WithTimeout(d.ctx, (next.Look.Wait + callTimeout).Duration())
 	defer cancel()
 	sentAt := d.deps.Clock.Now()
 	report, err := d.deps.Workers.Look(ctx, next.Worker, next.Look)
-	answered := d.deps.Clock.Now()
+	cameAt := d.deps.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.cell == nil || d.ctx.Err() != nil {
-		return false
+		return 0, false
 	}
 	if err != nil {
-		d.cell.LookFailed(next, err, answered)
-		return false
+		d.cell.LookFailed(next, err, cameAt)
+		return 0, false
 	}
-	d.cell.Looked(next, report, sentAt, answered)
+	d.cell.Looked(next, report, sentAt, cameAt)
 	if len(report.Ended) > 0 {
 		kick(d.decisionsDue)
 	}
 	d.kickOrders()
-	return true
+	return len(report.Ended), true
 }
