An owner whose process has ended is replaced without waiting for its beats

Cause: an owner's death showed only in its beat, whose time to live is lengthened while the table is slow: `owner is gone` after 2.47 s in the test, leases of 3 s had run out when the next owner had loaded.

Ruled out: the loading of rows and the waits alone; cells whose owner died before it knew of the slow table were taken over after 0.9 s by the same hosts, and their tasks went on.

Change: two other owners keep a call open at each owner. When it breaks and new connections are refused, or another process answers there, the cell is free at once; the owner row says for how long the owner before may still believe in itself, and the next one counts leases from there. Waits follow the length of calls. A new owner reads its rows side by side. CheckSpans tells at the start which spans don't fit.

Why it holds: the news only shortens a wait.

--- a/internal/coordination/holder/fleet_test.go
+++ b/internal/coordination/holder/fleet_test.go
@@ -17,7 +17,7 @@
 
 // fleetTiming has the spans of service: most processes leave the cells to larger ones.
 var fleetTiming = holder.Timing{TTL: 1200, SlowTTL: 4000, SlowCall: 150, Poll: 300, RestPoll: 600, PerOwned: 250, Timeout: 600, SlowTimeout: 2500,
-	Jitter: 250, SlowJitter: 2000, Handicap: 900, SlowHandicap: 2000, FirstWait: 2000, Reclaim: true}
+	Jitter: 250, SlowJitter: 2000, Handicap: 900, SlowHandicap: 2000, FirstWait: 2000, Reclaim: true, EndedGrace: 600}
 
 // counted counts what a process asks of its table.
 type counted struct {
--- a/internal/coordination/holder/holder.go
+++ b/internal/coordination/holder/holder.go
@@ -94,6 +94,9 @@
 	// connected says that the last call succeeded, calledAt is when that was known.
 	connected bool
 	calledAt  cottonlanding.Millis
+	// endedVersion is the version of the owner row whose owner's process was seen to have ended, at endedAt.
+	endedVersion cottonlanding.Version
+	endedAt      cottonlanding.Millis
 
 	// The fields below belong to the duty's goroutine.
 	beat cottonlanding.Version
@@ -244,6 +247,33 @@
 	h.Nudge()
 }
 
+// OwnerEnded takes in that the process of the owner named in a version of the owner row was seen to have ended, so
+// that nobody needs to wait until its last beat is old. The owner may be alive all the same, as one
+// whose host refuses connections: a beat that still moves says so, and nothing rests on its death
+// before its last beat is old.
+func (h *Holder) OwnerEnded(version cottonlanding.Version) {
+	h.mu.Lock()
+	known := h.endedVersion == version || h.view.Version != version
+	if !known {
+		h.endedVersion, h.endedAt = version, h.clock.Now()
+	}
+	h.mu.Unlock()
+	if !known {
+		h.log.Info("process of the owner has ended", "Version", version)
+		h.Nudge()
+	}
+}
+
+// ownerEndedAt returns when the process of the present owner was seen to have ended, zero if it wasn't.
+func (h *Holder) ownerEndedAt(view View) cottonlanding.Millis {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.endedVersion != view.Version {
+		return 0
+	}
+	return h.endedAt
+}
+
 // Leave keeps this member from taking over again.
 func (h *Holder) Leave() {
 	h.mu.Lock()
--- a/internal/coordination/holder/member.go
+++ b/internal/coordination/holder/member.go
@@ -19,6 +19,9 @@
 	// Member has no id after a release, but still the share of who released.
 	Member
 	Epoch cottonlanding.Epoch
+	// Remaining is, in a row without an owner, for how long after it was written the owner before may
+	// still believe in itself.
+	Remaining cottonlanding.Millis `json:",omitempty"`
 }
 
 // View is what one member knows of a cell's owner.
@@ -74,6 +77,9 @@
 	// SlowHandicap is the same while the table is slow.
 	Handicap     cottonlanding.Millis
 	SlowHandicap cottonlanding.Millis
+	// EndedGrace is how long the next life of a process that has ended has to take back its cells before others
+	// do. A slow table leaves no time for that.
+	EndedGrace cottonlanding.Millis
 	// Reclaim says that a member takes over at once from an owner at its own address: only
 	// one process can have that, so that the owner has ended.
 	Reclaim bool
@@ -84,3 +90,15 @@
 	Timeout     cottonlanding.Millis
 	SlowTimeout cottonlanding.Millis
 }
+
+// slowCalls is by how many calls of a slow table the waits are longer than usual.
+const slowCalls = 2
+
+// SlowSpan returns a wait while calls of the table take a given time: longer than the usual one by some calls from
+// SlowCall on, up to the one for a table as slow as was ever seen.
+func (t Timing) SlowSpan(usual, slowest, call cottonlanding.Millis) cottonlanding.Millis {
+	if call < t.SlowCall {
+		return usual
+	}
+	return min(slowest, usual+slowCalls*call)
+}
--- a/internal/coordination/holder/observe.go
+++ b/internal/coordination/holder/observe.go
@@ -119,6 +119,19 @@
 	return gapFactor*h.timing.Poll + took
 }
 
+// noteMoved takes back that the owner's process has ended if it has written a beat later than any that was on its way
+// when that was seen.
+func (h *Holder) noteMoved(read reading) {
+	longest := h.timeout()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.endedVersion == 0 || read.sent-h.endedAt <= longest {
+		return
+	}
+	h.log.Warn("owner that was taken for ended writes beats", "Version", h.endedVersion)
+	h.endedVersion = 0
+}
+
 // noteBeat measures for how long the beat row has stood still, by a reading of it.
 func (h *Holder) noteBeat(beat cottonlanding.Version, read reading) {
 	came := read.sent + read.took
@@ -126,6 +139,7 @@
 	h.lastRead = came
 	switch {
 	case beat != h.beat || h.beatSince == 0:
+		h.noteMoved(read)
 		if gap <= longest {
 			h.aliveAt = came
 		}
--- a/internal/coordination/holder/takeover.go
+++ b/internal/coordination/holder/takeover.go
@@ -35,7 +35,7 @@
 	if !valid {
 		return nil
 	}
-	write := h.leaveVacant(view, share)
+	write := h.leaveVacant(view, share, 0)
 	for {
 		_, err := h.write(ctx, newTransaction(), write)
 		if err == nil || errors.Is(err, cottonlanding.ErrConflict) {
@@ -49,13 +49,13 @@
 	}
 }
 
-// leaveVacant returns the write of an owner row that names nobody in place of the owner. Members of
-// about that share go first.
-func (h *Holder) leaveVacant(view View, share float64) cottonlanding.Write {
+// leaveVacant returns the write of an owner row that names nobody in place of the owner, who may believe in
+// itself for a remaining time. Members of about that share go first.
+func (h *Holder) leaveVacant(view View, share float64, remaining cottonlanding.Millis) cottonlanding.Write {
 	return cottonlanding.Write{
 		Key:    h.watched(ownerRow),
 		Expect: view.Version,
-		Value:  encode(Owner{Member: Member{Share: share}, Epoch: view.Owner.Epoch}),
+		Value:  encode(Owner{Member: Member{Share: share}, Epoch: view.Owner.Epoch, Remaining: remaining}),
 	}
 }
 
@@ -103,21 +103,43 @@
 	return !h.mine() && h.deps.Cells() > 1 && view.Owner.ID != "" && now >= h.endOf(view)
 }
 
-// endOf returns the instant by which the owner has ended if its beat doesn't move any more,
-// and this member's part of the jitter after that.
+// endOf returns the instant by which the owner has ended if its beat doesn't move any more, or its next life has
+// had its time to take the cell back, and this member's part of the jitter after that.
 func (h *Holder) endOf(view View) cottonlanding.Millis {
-	return h.beatSince + h.beatTTL + h.beatTTL/marginDivisor + h.jitter(view)
+	end := h.beliefEnds() + h.jitter(view)
+	endedAt := h.ownerEndedAt(view)
+	switch {
+	case endedAt == 0:
+		return end
+	case h.deps.Cells() > 1:
+		// Few watch an owner and write that it is gone, so that they needn't be spread over many calls.
+		return min(end, endedAt+h.endedGrace()+h.partOf(h.timing.Jitter, view))
+	}
+	return min(end, endedAt+h.endedGrace()+h.jitter(view))
+}
+
+// beliefEnds returns the instant by which the owner doesn't believe in itself any more if its beat doesn't move.
+func (h *Holder) beliefEnds() cottonlanding.Millis {
+	return h.beatSince + h.beatTTL + h.beatTTL/marginDivisor
+}
+
+func (h *Holder) endedGrace() cottonlanding.Millis {
+	if h.Slow() {
+		return 0
+	}
+	return h.timing.EndedGrace
 }
 
 // vacate writes that the cell has no owner, in place of one that was seen to write no beat for
 // its time to live. The beat row is written too, so that the owner can't come back unaware.
 func (h *Holder) vacate(ctx context.Context, view View) {
+	remaining := max(0, h.beliefEnds()-h.clock.Now())
 	_, err := h.write(ctx, newTransaction(),
-		h.leaveVacant(view, view.Owner.Share),
+		h.leaveVacant(view, view.Owner.Share, remaining),
 		cottonlanding.Write{Key: h.key(beatRow), Expect: h.beat, Value: h.encodeBeat(h.timing.TTL, nil)},
 	)
 	h.log.Info("owner is gone", "Owner", view.Owner.ID, "Epoch", view.Owner.Epoch,
-		"BeatAge", h.clock.Now()-h.beatSince, "Error", errorText(err))
+		"BeatAge", h.clock.Now()-h.beatSince, "Remaining", remaining, "Error", errorText(err))
 }
 
 // isOurs reports whether the owner row names this member, whose ownership has lapsed or was never
@@ -157,13 +179,21 @@
 // handicap is how much longer this member waits than those that have as large a
 // share as the owner had.
 func (h *Holder) handicap(view View) cottonlanding.Millis {
-	switch {
-	case view.Owner.Share <= h.self.Share*similarShare:
+	if view.Owner.Share <= h.self.Share*similarShare {
 		return 0
-	case h.Slow():
-		return h.timing.SlowHandicap
 	}
-	return h.timing.Handicap
+	return h.slowed(h.timing.Handicap, h.timing.SlowHandicap)
+}
+
+// slowed returns a span that leaves time for calls of the table as it is at present.
+func (h *Holder) slowed(usual, slowest cottonlanding.Millis) cottonlanding.Millis {
+	if !h.Slow() {
+		return usual
+	}
+	h.mu.Lock()
+	call := max(h.lastCall, h.timing.SlowCall)
+	h.mu.Unlock()
+	return h.timing.SlowSpan(usual, slowest, call)
 }
 
 // firstWait is how long this member waits before it becomes the first owner.
@@ -174,10 +204,11 @@
 // jitter spreads the members that would take over at the same moment: they share
 // one row, and a slow table takes their writes one after the other.
 func (h *Holder) jitter(view View) cottonlanding.Millis {
-	span := h.timing.Jitter
-	if h.Slow() {
-		span = h.timing.SlowJitter
-	}
+	return h.partOf(h.slowed(h.timing.Jitter, h.timing.SlowJitter), view)
+}
+
+// partOf returns this member's part of a span over which the members are spread.
+func (h *Holder) partOf(span cottonlanding.Millis, view View) cottonlanding.Millis {
 	if span <= 0 {
 		return 0
 	}
@@ -205,7 +236,7 @@
 	}
 	before := h.beatSince + h.beatTTL // it was seen to write no beat since
 	if view.Owner.ID == "" {
-		before = sent // it has released, or there was none
+		before = max(sent, h.ownerSince+view.Owner.Remaining) // it has released, has ended, or there was none
 	}
 	h.beat, h.beatTTL, h.beatSince = version, ttl, h.clock.Now()
 	h.ownerSince = h.beatSince
--- a/internal/workflow/driver/load.go
+++ b/internal/workflow/driver/load.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
@@ -34,23 +36,7 @@
 		return nil, errNotReady
 	}
 	began := d.deps.Clock.Now()
-	specs, err := d.scan(planner.SpecKey(d.setup.Partition, ""), page)
-	if err != nil {
-		return nil, err
-	}
-	states, err := d.scan(planner.StateKey(d.setup.Partition, ""), page)
-	if err != nil {
-		return nil, err
-	}
-	referrals, err := d.scan(planner.ReferralKey(d.setup.Partition, ""), page)
-	if err != nil {
-		return nil, err
-	}
-	guests, err := d.scan(planner.GuestsKey(d.setup.Partition), page)
-	if err != nil {
-		return nil, err
-	}
-	learnt, err := d.read(planner.LearntKey(d.setup.Partition))
+	rows, err := d.readCell(page)
 	if err != nil {
 		return nil, err
 	}
@@ -59,24 +45,53 @@
 	cell.SetQueues(queues)
 	cell.SetEvacuations(evacuations, now)
 	cell.SetWorkers(workers, now)
-	if err := cell.Load(specs, states, now); err != nil {
+	if err := cell.Load(rows.specs, rows.states, now); err != nil {
 		return nil, err
 	}
-	if err := cell.LoadGuests(guests, now); err != nil {
+	if err := cell.LoadGuests(rows.guests, now); err != nil {
 		return nil, err
 	}
-	if err := cell.LoadReferrals(referrals, now); err != nil {
+	if err := cell.LoadReferrals(rows.referrals, now); err != nil {
 		return nil, err
 	}
-	for _, row := range learnt {
+	for _, row := range rows.learnt {
 		if err := cell.LoadLearnt(row); err != nil {
 			d.deps.Log.Warn("what was learnt of images is lost", "Error", err) // it is learnt anew
 		}
 	}
-	d.deps.Log.Info("workflows loaded", "Workflows", len(specs), "Workers", len(workers), "Epoch", d.setup.Epoch, "After", now-began)
+	d.deps.Log.Info("workflows loaded", "Workflows", len(rows.specs), "Workers", len(workers), "Epoch", d.setup.Epoch, "After", now-began)
 	return cell, nil
 }
 
+// cellRows are the rows of a cell by kind.
+type cellRows struct {
+	specs, states, guests, referrals, learnt []cottonlanding.Row
+}
+
+// readCell reads all rows of the cell. The kinds are read side by side: nothing of the cell changes any more, and a
+// slow table takes long for each call.
+func (d *Driver) readCell(page int) (cellRows, error) {
+	var rows cellRows
+	at := d.setup.Partition
+	var reads errgroup.Group
+	for prefix, into := range map[cottonlanding.Key]*[]cottonlanding.Row{
+		planner.SpecKey(at, ""):     &rows.specs,
+		planner.StateKey(at, ""):    &rows.states,
+		planner.GuestsKey(at):       &rows.guests,
+		planner.ReferralKey(at, ""): &rows.referrals,
+	} {
+		reads.Go(func() (err error) {
+			*into, err = d.scan(prefix, page)
+			return err
+		})
+	}
+	reads.Go(func() (err error) {
+		rows.learnt, err = d.read(planner.LearntKey(at))
+		return err
+	})
+	return rows, reads.Wait()
+}
+
 func (d *Driver) read(key cottonlanding.Key) ([]cottonlanding.Row, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, tableTimeout.Duration())
 	defer cancel()
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -113,6 +113,12 @@
 	refusedVersion cottonlanding.Version
 	settling       settling
 
+	// life ends with the host's part.
+	life    context.Context
+	endLife context.CancelFunc
+	// vigilsMu guards the watches of all cells.
+	vigilsMu sync.Mutex
+
 	mu     sync.Mutex
 	closed bool
 }
@@ -124,7 +130,11 @@
 		deps:     deps,
 		readers:  make(map[cottonlanding.Partition]*holder.Reader),
 	}
+	g.life, g.endLife = context.WithCancel(context.Background())
 	g.seats.Store(&[]*seat{})
+	if err := CheckSpans(settings.Holder, settings.Planner.Lease); err != nil {
+		deps.Log.Warn("spans do not fit", "Error", err)
+	}
 	var err error
 	g.messenger, err = messenger.Serve(settings.PeerAddress, func(server grpc.ServiceRegistrar) {
 		wire.RegisterWorkflowsServer(server, &peerServer{gateway: g})
@@ -318,6 +328,7 @@
 	g.mu.Lock()
 	g.closed = true
 	g.mu.Unlock()
+	g.endVigils()
 	var left sync.WaitGroup
 	for _, s := range *g.seats.Load() {
 		left.Go(func() { s.leave(ctx) })
@@ -334,6 +345,8 @@
 
 // Close ends the host's part.
 func (g *Gateway) Close(ctx context.Context) {
+	g.endLife()
+	g.endVigils()
 	g.layoutDuty.Close()
 	g.referralsDuty.Close()
 	for _, s := range *g.seats.Load() {
--- a/internal/workflow/gateway/layout.go
+++ b/internal/workflow/gateway/layout.go
@@ -128,6 +128,7 @@
 		}
 	}
 	g.ready.Store(true)
+	g.reviewVigils()
 	g.deps.Log.Info("cells are known", "Cells", len(seats), "Waited", waited)
 	return true
 }
--- a/internal/workflow/gateway/seat.go
+++ b/internal/workflow/gateway/seat.go
@@ -33,6 +33,8 @@
 	lastWaiting map[cottonlanding.QueueName]waitingCount
 	workers     cellWorkers
 	referred    []referredWork
+	// vigil is this host's watch over the owner, guarded by the gateway's vigilsMu.
+	vigil *vigil
 	// unhostedAt is when it was last logged that no cell has room for a task of this one.
 	unhostedAt cottonlanding.Millis
 }
@@ -87,6 +89,7 @@
 // ownerChanged starts a driver for an ownership of this host and ends the one before.
 func (s *seat) ownerChanged(view holder.View) {
 	s.endDriver()
+	s.gateway.reviewVigils()
 	mine := view.Owner.Member == s.gateway.settings.Self && s.mine()
 	s.gateway.noteOwned()
 	if !mine || s.gateway.leaving() {
--- a/internal/workflow/gateway/timing.go
+++ b/internal/workflow/gateway/timing.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/holder"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
@@ -32,6 +34,9 @@
 	// the same while the store is slow.
 	holderHandicap     = 900 * cottonlanding.Millis(1)
 	slowHolderHandicap = 2 * cottonlanding.Second
+	// holderEndedGrace is how long the next life of a host whose process has ended has to take its cells back: its start
+	// and two calls. Others need as long to take over, and leave the cells where their work was.
+	holderEndedGrace = 600 * cottonlanding.Millis(1)
 	// holderFirstWait spreads hosts by size when nobody has owned anything yet, which
 	// is well before traffic starts.
 	holderFirstWait = 2 * cottonlanding.Second
@@ -67,7 +72,34 @@
 		Handicap:     holderHandicap,
 		SlowHandicap: slowHolderHandicap,
 		FirstWait:    holderFirstWait,
+		EndedGrace:   holderEndedGrace,
+	}
+}
+
+const (
+	// checkedCall is up to which length of the table's calls a killed owner is replaced for sure before its workers'
+	// leases run out.
+	checkedCall = 300 * cottonlanding.Millis(1)
+	// killSeenWithin is how long those that watch a process take to know that it was killed.
+	killSeenWithin = 150 * cottonlanding.Millis(1)
+	// takeOverCalls is how many calls of the table are made one after the other from then until a new owner renews
+	// leases: a look at the beats, the owner row without an owner, its news, the owner row with the new one; two
+	// for the fence, two for the rows.
+	takeOverCalls = 8
+	// leaseUsed is the part of a lease, as a divisor, that is used up when it is renewed.
+	leaseUsed = 4
+)
+
+// CheckSpans returns an error that names the spans if an owner that is killed while the table is slow may be replaced only
+// after its workers' leases have run out, so that their lasting tasks are interrupted. It is for hosts of
+// similar size; small ones that have to wait for large ones may need longer.
+func CheckSpans(timing holder.Timing, lease cottonlanding.Millis) error {
+	left := lease - lease/leaseUsed
+	waits := timing.Jitter + timing.SlowSpan(timing.Jitter, timing.SlowJitter, checkedCall) + 2*timing.PerOwned + timing.Away
+	if needed := killSeenWithin + waits + takeOverCalls*checkedCall; needed > left {
+		return fmt.Errorf("a killed owner is replaced after up to %s with calls of %s (waits %s), a lease of %s has %s left", needed, checkedCall, waits, lease, left)
 	}
+	return nil
 }
 
 const (
--- a/internal/workflow/gateway/timing_test.go
+++ b/internal/workflow/gateway/timing_test.go
@@ -28,3 +28,15 @@
 	require.LessOrEqual(t, planner.Lease+planner.CutOffGrace, 8*cottonlanding.Second)
 	require.Equal(t, 3*cottonlanding.Second, gateway.PlannerTiming(3*cottonlanding.Second, 900, cottonlanding.Minute).Lease)
 }
+
+// TestSpansOutlastAKilledOwner: with the spans of service, leases ran out before a killed owner was replaced while
+// the table was slow, and nothing said so.
+func TestSpansOutlastAKilledOwner(t *testing.T) {
+	timing := gateway.HolderTiming(true)
+	service := gateway.PlannerTiming(30*cottonlanding.Second, 900, cottonlanding.Minute)
+	require.NoError(t, gateway.CheckSpans(timing, service.Lease))
+	require.ErrorContains(t, gateway.CheckSpans(timing, 3*cottonlanding.Second), "a lease of 3s has 2.25s left")
+	timing.SlowJitter, timing.Jitter = 3*cottonlanding.Second, cottonlanding.Second
+	require.Error(t, gateway.CheckSpans(timing, service.Lease))
+	require.Greater(t, gateway.HolderTiming(true).EndedGrace, gateway.HolderTiming(true).Poll, "a next life has time to start")
+}
