A start without an answer is repeated once before the worker has answered a look

What callers saw: a task that crashes its worker at once crashed life after life of it under one run number, and none of these crashes was counted before the next look (TestRepeatedStartMeetsNoLifeAfterLife, red in each run).

Cause: a start without an answer was repeated each 250 ms while the worker had answered within three seconds. Orders name no birth, so that the next life takes the copy.

Change: one copy may go out before a look is answered.

Why it holds: a further copy goes out only after an answer that tells the worker's life, which counts what ended before.

--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -20,6 +20,11 @@
 // orderPause is the pause before an order that got no answer is sent again.
 const orderPause = 250 * cottonlanding.Millis(1)
 
+// mostUnseenCopies is how often a start without an answer is repeated before the worker has answered a look. A
+// connection that went silent costs one copy. Each further one may meet another life of the worker,
+// and crash it like the one before, while nobody has missed either.
+const mostUnseenCopies = 1
+
 // Order is something to send to a worker.
 type Order struct {
 	Verb   Verb
@@ -136,8 +141,11 @@
 	case r.phase < started && (c.startsHeld || w.cordoned() || !w.reachable(now) || !r.task.job.mayStart(now)):
 		// A lease that has passed by this life's clock may be valid by the next one's.
 		return Order{}, false
+	case r.phase == sent && w.answered <= r.sentAt && r.unseenCopies >= mostUnseenCopies:
+		return Order{}, false // the next look shows what became of the copies
 	case r.phase == cleared || r.phase == sent:
 		order.Verb = VerbStart
+		r.countCopy(w)
 		order.Start.Payload = r.task.job.Payload
 		order.Start.LeaseUntil = c.leaseUntil(w, now)
 		order.Start.Checkpoint = c.startCheckpoint(w, r, now)
@@ -151,6 +159,15 @@
 	return Order{}, false
 }
 
+// countCopy counts the starts that are repeated although the worker has answered no look since the last one.
+func (r *run) countCopy(w *worker) {
+	if r.phase == sent && w.answered <= r.sentAt {
+		r.unseenCopies++
+		return
+	}
+	r.unseenCopies = 0
+}
+
 // Ordered takes in what became of an order.
 func (c *Cell) Ordered(order Order, reading cottonlanding.Reading, err error, now cottonlanding.Millis) {
 	c.absolve(order, err)
