--- a/internal/coordination/holder/observe.go
+++ b/internal/coordination/holder/observe.go
@@ -125,7 +125,7 @@
 	longest := h.timeout()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.endedVersion == 0 || read.sent-h.endedAt <= longest {
+	if h.endedVersion == 0 || h.endedVersion != h.view.Version || read.sent-h.endedAt <= longest {
 		return
 	}
 	h.log.Warn("owner that was taken for ended writes beats", "Version", h.endedVersion)
