--- a/internal/coordination/holder/request.go
+++ b/internal/coordination/holder/request.go
@@ -82,7 +82,7 @@
 		Value:  encode(Request{Member: h.self, OwnerVersion: view.Version}),
 	}
 	_, err := h.write(ctx, newTransaction(), write)
-	h.log.Info("cell asked for", "Owner", view.Owner.ID, "OwnerShare", view.Owner.Share,
+	h.log.Info("cell requested", "Owner", view.Owner.ID, "OwnerShare", view.Owner.Share,
 		"Share", h.self.Share, "Error", errorText(err))
 }
 
@@ -98,6 +98,6 @@
 		return
 	}
 	h.heard = view.Version
-	h.log.Info("cell is asked for", "By", request.ID, "Share", request.Share)
+	h.log.Info("cell request received", "By", request.ID, "Share", request.Share)
 	h.deps.Asked(request.Member)
 }
--- a/internal/workflow/driver/attendant.go
+++ b/internal/workflow/driver/attendant.go
@@ -14,7 +14,7 @@
 const lookSpacing = 50 * cottonlanding.Millis(1)
 
 // attend looks at one worker again and again until the worker is gone.
-func (d *Driver) attend(id cottonlanding.WorkerID, wake chan struct{}) {
+func (d *Driver) attend(id cottonlanding.WorkerID, woken chan struct{}) {
 	defer func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -28,11 +28,11 @@
 		}
 		switch {
 		case next.After > 0:
-			d.await(wake, next.After)
+			d.await(woken, next.After)
 		case next.Look.Wait > 0:
 			sentAt := d.deps.Clock.Now()
 			if ends, _ := d.look(next); ends == 0 {
-				d.await(wake, sentAt+lookSpacing-d.deps.Clock.Now())
+				d.await(woken, sentAt+lookSpacing-d.deps.Clock.Now())
 			}
 		default:
 			d.lookInTurn(id)
@@ -101,21 +101,21 @@
 	return until > 0 && now < until+d.timing.CutOffGrace
 }
 
-func (d *Driver) await(wake chan struct{}, span cottonlanding.Millis) {
+func (d *Driver) await(woken chan struct{}, span cottonlanding.Millis) {
 	timer := time.NewTimer(span.Duration())
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-	case <-wake:
+	case <-woken:
 	case <-d.ctx.Done():
 	}
 }
 
 // wakeAttendants lets attendants look again that waited for a commit.
 func (d *Driver) wakeAttendants() {
-	for id, wake := range d.attended {
+	for id, attendant := range d.attended {
 		if d.cell.Seen(id) {
-			kick(wake)
+			wake(attendant)
 		}
 	}
 }
@@ -155,8 +155,8 @@
 	}
 	d.cell.Looked(next, report, sentAt, cameAt)
 	if len(report.Ended) > 0 {
-		kick(d.decisionsDue)
+		wake(d.decisionsDue)
 	}
-	d.kickOrders()
+	d.flushOrders()
 	return len(report.Ended), true
 }
--- a/internal/workflow/driver/calls.go
+++ b/internal/workflow/driver/calls.go
@@ -96,8 +96,8 @@
 	}); err != nil {
 		return err
 	}
-	kick(d.decisionsDue)
-	d.kickOrders()
+	wake(d.decisionsDue)
+	d.flushOrders()
 	select {
 	case err := <-done:
 		return err
@@ -177,7 +177,7 @@
 	if err != nil {
 		return // the next owner asks again
 	}
-	kick(d.decisionsDue)
+	wake(d.decisionsDue)
 }
 
 // Counts returns what the cell has counted.
--- a/internal/workflow/driver/delegation.go
+++ b/internal/workflow/driver/delegation.go
@@ -41,7 +41,7 @@
 // askGuestsSoon has other cells asked at once if they run tasks of this one.
 func (d *Driver) askGuestsSoon() {
 	if d.asksGuests {
-		kick(d.guestsDue)
+		wake(d.guestsDue)
 	}
 }
 
@@ -97,7 +97,7 @@
 		if err := g.driver.with(func(cell *planner.Cell, now cottonlanding.Millis) { cell.Reported(g.cell, answer, now) }); err != nil {
 			return // it isn't owned any more
 		}
-		kick(g.driver.decisionsDue)
+		wake(g.driver.decisionsDue)
 		if known {
 			return
 		}
@@ -123,7 +123,7 @@
 	var answer planner.DelegationAnswer
 	err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { answer = cell.HoldGuests(question, now) })
 	if err == nil {
-		kick(d.decisionsDue)
+		wake(d.decisionsDue)
 	}
 	return answer, err
 }
@@ -143,5 +143,5 @@
 	if err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { cell.SettleGuest(id, goesOn, now) }); err != nil {
 		return // the next owner asks again
 	}
-	kick(d.decisionsDue)
+	wake(d.decisionsDue)
 }
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -219,8 +219,8 @@
 	}
 }
 
-// kick wakes a loop, or leaves it be if it is to wake anyway.
-func kick(loop chan struct{}) {
+// wake wakes a loop, or leaves it be if it is to wake anyway.
+func wake(loop chan struct{}) {
 	select {
 	case loop <- struct{}{}:
 	default:
@@ -307,7 +307,7 @@
 		}
 		d.askGuestsSoon()
 	}
-	d.kickOrders()
+	d.flushOrders()
 	took.ended = d.deps.Clock.Now()
 	d.meter.noteTurn(took)
 	return took, true
--- a/internal/workflow/driver/outbox.go
+++ b/internal/workflow/driver/outbox.go
@@ -71,7 +71,7 @@
 	o.mu.Lock()
 	o.answered = append(o.answered, a)
 	o.mu.Unlock()
-	kick(o.answersDue)
+	wake(o.answersDue)
 }
 
 // answers takes the answers that came.
--- a/internal/workflow/driver/refresh.go
+++ b/internal/workflow/driver/refresh.go
@@ -14,9 +14,9 @@
 	d.cell.SetWorkers(workers, now)
 	for _, w := range workers {
 		if d.attended[w.ID] == nil && d.cell.Attends(w.ID) {
-			wake := make(chan struct{}, 1)
-			d.attended[w.ID] = wake
-			d.work.Go(func() { d.attend(w.ID, wake) })
+			woken := make(chan struct{}, 1)
+			d.attended[w.ID] = woken
+			d.work.Go(func() { d.attend(w.ID, woken) })
 		}
 	}
 }
--- a/internal/workflow/driver/sender.go
+++ b/internal/workflow/driver/sender.go
@@ -25,8 +25,8 @@
 	}
 }
 
-// kickOrders has the orders looked through soon.
-func (d *Driver) kickOrders() { kick(d.ordersDue) }
+// flushOrders has the orders looked through soon.
+func (d *Driver) flushOrders() { wake(d.ordersDue) }
 
 // dispatch hands the due orders to one goroutine for each stream.
 func (d *Driver) dispatch() {
@@ -84,7 +84,7 @@
 			}
 		}
 		d.mu.Unlock()
-		d.kickOrders()
+		d.flushOrders()
 	}
 }
 
--- a/internal/workflow/planner/apart.go
+++ b/internal/workflow/planner/apart.go
@@ -58,8 +58,8 @@
 	return t.openLife.Worker != "" && t.hasLastStart() && now-t.since < newsPatience
 }
 
-// unrest reports whether workers fell silent just now: what has caused that may go on.
-func (c *Cell) unrest(now cottonlanding.Millis) bool {
+// unstable reports whether workers fell silent just now: what has caused that may go on.
+func (c *Cell) unstable(now cottonlanding.Millis) bool {
 	return slices.ContainsFunc(c.outages, func(o outage) bool { return now-o.at < together })
 }
 
@@ -72,7 +72,7 @@
 	case !c.apart(t, now):
 		return false
 	case now-t.since >= t.patience(): // where tasks begin all the time, it would wait for ever
-	case w.beganAt > 0 && now-w.beganAt < apartFor, t.hasFewLosses() && c.unrest(now):
+	case w.beganAt > 0 && now-w.beganAt < apartFor, t.hasFewLosses() && c.unstable(now):
 		return true
 	}
 	c.apartWorkers = slices.DeleteFunc(c.apartWorkers, func(other *worker) bool { return !other.runsApart(now) })
--- a/internal/workflow/planner/begun.go
+++ b/internal/workflow/planner/begun.go
@@ -28,7 +28,7 @@
 // noteOutlived notes that a run has gone on for longer than a task that crashes its worker does. It is
 // written for the next owner once that is true of all runs of a lasting step, or of a suspect.
 func (c *Cell) noteOutlived(r *run) {
-	if r.outlived || r.seenFor() < just {
+	if r.outlived || r.seenFor() < promptWindow {
 		return
 	}
 	r.outlived = true
@@ -54,14 +54,14 @@
 // suspect of the end of its worker then.
 func (r *run) beganJustBefore(at cottonlanding.Millis) bool {
 	began, known := r.began()
-	return known && r.mayHaveBegun() && began <= at && at-began <= just
+	return known && r.mayHaveBegun() && began <= at && at-began <= promptWindow
 }
 
 // beganSoonBefore is the same for what may have to do with it. Of a run without an answer
 // nothing is known, so that it may.
 func (r *run) beganSoonBefore(at cottonlanding.Millis) bool {
 	began, known := r.began()
-	return r.mayHaveBegun() && (!known || at-began < soon)
+	return r.mayHaveBegun() && (!known || at-began < recentWindow)
 }
 
 // mayHaveJustBegun reports whether the run may have begun just before an instant, or later. One that
@@ -72,5 +72,5 @@
 		return true
 	}
 	began, known := r.began()
-	return known && r.mayHaveBegun() && at-began <= just
+	return known && r.mayHaveBegun() && at-began <= promptWindow
 }
--- a/internal/workflow/planner/blame.go
+++ b/internal/workflow/planner/blame.go
@@ -17,18 +17,18 @@
 	// mostLosses is how many lives of workers may end that a task may have ended before it is
 	// given up under every policy. Source: the rule that allows two starts after three crashes.
 	mostLosses = 5
-	// soon is how long a run must have lasted for the end of its worker to tell nothing of
+	// recentWindow is how long a run must have lasted for the end of its worker to tell nothing of
 	// it, and for its task to be cleared of earlier losses.
-	soon = 10 * cottonlanding.Second
-	// just is how long before the end of its worker a run may have begun to be a suspect
+	recentWindow = 10 * cottonlanding.Second
+	// promptWindow is how long before the end of its worker a run may have begun to be a suspect
 	// before all others: ten milliseconds, and what it takes a busy owner to notice. A longer span
 	// has innocent workflows given up beside workers that crash for no cause of ours.
-	just = 300 * cottonlanding.Millis(1)
+	promptWindow = 300 * cottonlanding.Millis(1)
 )
 
 // suspectsAmong returns those of the runs lost with a life that stand out as the cause of its end at
-// an instant: all that began just before, or else the only one that began soon before. Of many
-// that did none stands out, and one of them may be convicted at the next crash from outside.
+// an instant: all that began within promptWindow before it, or else the only one that began within recentWindow.
+// Several runs of the latter kind are no suspects: one of them would be charged with each crash from outside.
 func suspectsAmong(lost []*run, at cottonlanding.Millis) []*run {
 	prompt := make([]*run, 0, len(lost))
 	for _, r := range lost {
@@ -57,7 +57,7 @@
 // blame notes for each task that a worker ran what the loss of its run tells of it, and
 // returns those that are given up.
 func (c *Cell) blame(w *worker, runs []*run, why loss, now cottonlanding.Millis) []*task {
-	at := w.fellSilent(now)
+	at := w.lastContact(now)
 	lost := lostSoon(w, runs, at)
 	if len(lost) == 0 {
 		return nil
@@ -73,14 +73,14 @@
 		OuterCause: !c.policy.Blame.Blames(crash),
 	}
 	var convicted []*task
-	var stories []string
+	var verdicts []string
 	for _, r := range lost {
 		if !r.chargeable() {
 			continue
 		}
 		loss := lossOf(end, w, r, slices.Contains(suspects, r))
 		finding := c.weigh(r, loss)
-		stories = append(stories, fmt.Sprintf("%s#%d seen for %d %s losses %d crashes %d", r.Task, r.Number, r.seenFor(),
+		verdicts = append(verdicts, fmt.Sprintf("%s#%d seen for %d %s losses %d crashes %d", r.Task, r.Number, r.seenFor(),
 			finding, r.task.crashes.Losses, r.task.crashes.Crashes))
 		suspect := cottonlanding.SuspectView{Record: r.task.crashes, Finding: finding, Alone: len(suspects) == 1, Prompt: r.beganJustBefore(at), Crash: crash}
 		if finding > cottonlanding.NoProof && c.convicts(suspect) {
@@ -88,7 +88,7 @@
 		}
 	}
 	c.log.Warn("crash weighed", "Worker", w.info.ID, "Born", w.life().Born, "Why", why, "LastAnswer", now-w.answered, "Ended", end.LifeEnded, "Met", end.Met,
-		"EndsAnyway", end.EndsAnyway, "Age", w.age(at), "OuterCause", end.OuterCause, "Suspects", len(suspects), "Tasks", stories, "SilentFor", now-at,
+		"EndsAnyway", end.EndsAnyway, "Age", w.age(at), "OuterCause", end.OuterCause, "Suspects", len(suspects), "Tasks", verdicts, "SilentFor", now-at,
 		"Unprovoked", crash.Unprovoked, "Rack", crash.Rack, "RackSilent", crash.RackSilent, "Workers", crash.Workers, "Silent", crash.Silent)
 	return convicted
 }
@@ -191,7 +191,7 @@
 	if t == nil || t.run != r || !t.suspected() {
 		return
 	}
-	if r.ackedAt == 0 || now-r.ackedAt < soon {
+	if r.ackedAt == 0 || now-r.ackedAt < recentWindow {
 		return
 	}
 	c.log.Info("task cleared", "Task", t.ref.String(), "Run", r.Number, "Worker", r.worker.info.ID, "Losses", t.crashes.Losses, "Crashes", t.crashes.Crashes)
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -104,7 +104,7 @@
 	// superseded says that a worker has seen a newer owner.
 	superseded bool
 	counts     Counts
-	stories    stories
+	logBatch   logBatch
 }
 
 // Counts counts a cell's decisions since its owner took it.
--- a/internal/workflow/planner/due.go
+++ b/internal/workflow/planner/due.go
@@ -72,8 +72,8 @@
 // isNewcomer reports whether a lasting task never ran.
 func (t *task) isNewcomer() bool { return t.stage.Lasting && !t.stage.Fills && t.number == 0 }
 
-// standsBackInStep reports whether room may be due to another task of a newcomer's step.
-func (c *Cell) standsBackInStep(t *task) bool {
+// yieldsInStep reports whether room may be due to another task of a newcomer's step.
+func (c *Cell) yieldsInStep(t *task) bool {
 	return t.isNewcomer() && slices.ContainsFunc(c.due.tasks, func(other *task) bool {
 		return other.stage == t.stage && other.awaitsRun()
 	})
@@ -87,13 +87,13 @@
 	}
 	left := w.passing()
 	return slices.ContainsFunc(c.due.tasks, func(other *task) bool {
-		return other.goesBefore(t) && other.stage.Reserved().Fits(left) && c.allowed(other, w, now)
+		return other.precedes(t) && other.stage.Reserved().Fits(left) && c.allowed(other, w, now)
 	})
 }
 
-// goesBefore reports whether a task that awaited its run in this decision still does, and goes
+// precedes reports whether a task that awaited its run in this decision still does, and goes
 // before a newcomer: it is of the same service and not less urgent.
-func (t *task) goesBefore(newcomer *task) bool {
+func (t *task) precedes(newcomer *task) bool {
 	queue, other := t.job.queue, newcomer.job.queue
 	return t.awaitsRun() && queue.Service == other.Service && queue.Priority <= other.Priority
 }
@@ -107,7 +107,7 @@
 	}
 	need := t.stage.Reserved()
 	for _, other := range d.tasks {
-		if other.goesBefore(t) {
+		if other.precedes(t) {
 			need = need.Plus(other.stage.Reserved())
 		}
 	}
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -244,7 +244,7 @@
 	c.touch(j)
 	c.counts.Accepted++
 	c.replies[j.ID] = append(c.replies[j.ID], done)
-	c.log.Info("workflow taken in", "Workflow", j.ID, "Queue", j.Queue, "Steps", len(j.Steps),
+	c.log.Info("workflow accepted", "Workflow", j.ID, "Queue", j.Queue, "Steps", len(j.Steps),
 		"Queues", c.queues.Version, "Epoch", c.setup.Epoch)
 }
 
--- a/internal/workflow/planner/life.go
+++ b/internal/workflow/planner/life.go
@@ -60,10 +60,10 @@
 	w.changed()
 }
 
-// wentBack reports whether a worker's clock has not gone on as a steady one does since its last
+// clockRegressed reports whether a worker's clock has not gone on as a steady one does since its last
 // answer to a look, if an order was sent later: another life has taken the order, with a lease
 // that is cut to the longest.
-func (w *worker) wentBack(reading cottonlanding.Reading, sentAt cottonlanding.Millis) bool {
+func (w *worker) clockRegressed(reading cottonlanding.Reading, sentAt cottonlanding.Millis) bool {
 	if reading == 0 || w.reading == 0 || sentAt < w.readAt {
 		return false
 	}
@@ -111,7 +111,7 @@
 	// them to the longest.
 	w.bound = max(before.bound, now+stretched(c.timing.LongestLease))
 	c.log.Warn("another life of a worker", "Worker", w.info.ID, "Before", before.born, "Born", born, "Listed", w.info.Born,
-		"LastAnswer", now-before.answered, "SilentFor", now-before.fellSilent(now), "Noted", before.noted, "Runs", before.runs.size())
+		"LastAnswer", now-before.answered, "SilentFor", now-before.lastContact(now), "Noted", before.noted, "Runs", before.runs.size())
 	for _, r := range before.runs.snapshot() {
 		before.removeRun(r.RunKey)
 		r.worker = w
--- a/internal/workflow/planner/story.go
+++ b/internal/workflow/planner/logbatch.go
@@ -6,9 +6,9 @@
 	"github.com/cottonlanding/cottonlanding"
 )
 
-// stories collects what happened to many tasks at once, so that one line of the log
+// logBatch collects what happened to many tasks at once, so that one line of the log
 // tells it: an owner of hundreds of workers places and ends a thousand runs a second.
-type stories struct {
+type logBatch struct {
 	placed []string
 	ended  []string
 	// waited is the longest wait among placed, lookAge the age of the oldest answer
@@ -18,7 +18,7 @@
 }
 
 // notePlaced adds a task that was given to a worker.
-func (s *stories) notePlaced(t *task, w *worker, now cottonlanding.Millis) {
+func (s *logBatch) notePlaced(t *task, w *worker, now cottonlanding.Millis) {
 	s.placed = append(s.placed, fmt.Sprintf("%s#%d@%s", t.ref, t.number, w.info.ID))
 	s.waited = max(s.waited, now-t.since)
 	s.lookAge = max(s.lookAge, now-w.answered)
@@ -26,7 +26,7 @@
 
 // tellPlaced logs the tasks that were placed, each as task#run@worker.
 func (c *Cell) tellPlaced() {
-	s := &c.stories
+	s := &c.logBatch
 	if len(s.placed) > 0 {
 		c.log.Info("tasks placed", "Tasks", s.placed, "LongestWait", s.waited, "OldestLook", s.lookAge)
 	}
@@ -37,8 +37,8 @@
 // of its own, which shows how long each part of that took.
 func (c *Cell) noteEnded(r *run, end cottonlanding.RunEnd, now cottonlanding.Millis) {
 	if !r.stopping {
-		story := fmt.Sprintf("%s#%d %s after %d at %d%%", r.Task, r.Number, end.Kind, now-r.placedAt, r.percent)
-		c.stories.ended = append(c.stories.ended, story)
+		line := fmt.Sprintf("%s#%d %s after %d at %d%%", r.Task, r.Number, end.Kind, now-r.placedAt, r.percent)
+		c.logBatch.ended = append(c.logBatch.ended, line)
 		return
 	}
 	c.log.Info("stopped run ended", "Task", r.Task.String(), "Run", r.Number, "Worker", r.worker.info.ID, "End", end.Kind,
@@ -57,10 +57,10 @@
 
 // tellEnded logs the runs of a worker that ended by themselves, each as task#run.
 func (c *Cell) tellEnded(w *worker) {
-	if len(c.stories.ended) > 0 {
-		c.log.Info("runs ended", "Worker", w.info.ID, "Ends", c.stories.ended, "Serial", w.noted)
+	if len(c.logBatch.ended) > 0 {
+		c.log.Info("runs ended", "Worker", w.info.ID, "Ends", c.logBatch.ended, "Serial", w.noted)
 	}
-	c.stories.ended = nil
+	c.logBatch.ended = nil
 }
 
 // tellLost logs the runs that are lost with a worker, each as task#run with how long before
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -219,7 +219,7 @@
 	if errors.Is(err, cottonlanding.ErrAmbiguous) {
 		w.unanswered = true
 	}
-	if w.wentBack(reading, order.SentAt) {
+	if w.clockRegressed(reading, order.SentAt) {
 		w.unsure = true
 		w.bound = max(w.bound, now+stretched(c.timing.LongestLease))
 	}
--- a/internal/workflow/planner/outage.go
+++ b/internal/workflow/planner/outage.go
@@ -46,8 +46,8 @@
 	return w.leaving() && !r.born.IsOtherThan(w.info.Born) || w.unlistedAlive && !r.born.IsOtherThan(w.born)
 }
 
-// fellSilent returns when the worker gave no answer first.
-func (w *worker) fellSilent(now cottonlanding.Millis) cottonlanding.Millis {
+// lastContact returns when the worker gave no answer first.
+func (w *worker) lastContact(now cottonlanding.Millis) cottonlanding.Millis {
 	if w.failed {
 		return w.failedSince
 	}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -99,7 +99,7 @@
 			continue
 		}
 		w := c.pickUnlessMissed(t, misses, now)
-		if w == nil && (c.apart(t, now) || c.standsBackInStep(t)) {
+		if w == nil && (c.apart(t, now) || c.yieldsInStep(t)) {
 			continue // there may be room beside others, or for others
 		}
 		if w == nil {
@@ -172,7 +172,7 @@
 	c.touch(t.job)
 	c.due.noteTaken(t)
 	c.noteBegun(t, w, now)
-	c.stories.notePlaced(t, w, now)
+	c.logBatch.notePlaced(t, w, now)
 }
 
 // preference orders the workers that fit a task; lower ones are asked first.
@@ -206,7 +206,7 @@
 		return doubtful
 	case t.stage.DataRack != "" && w.info.Rack == t.stage.DataRack:
 		return nearData
-	case t.stage.Fills && c.harmless(w, t.stage.Step, now), serves && room.serves(t.stage.Image):
+	case t.stage.Fills && c.withinInterferenceBudget(w, t.stage.Step, now), serves && room.serves(t.stage.Image):
 		return companion
 	case (t.stage.Fills || serves) && len(room.slacks) == 0:
 		return unshared
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -79,7 +79,7 @@
 		return
 	}
 	best.keptFor, best.keptUntil = t, now+keepFor
-	c.log.Info("room kept", "Task", t.ref.String(), "Worker", best.info.ID, "Waited", now-t.since, "Free", int64(c.room(best, now).free.CPU))
+	c.log.Info("capacity reserved", "Task", t.ref.String(), "Worker", best.info.ID, "Waited", now-t.since, "Free", int64(c.room(best, now).free.CPU))
 }
 
 // waitsLong reports whether a lasting task has waited for so long that a worker is
@@ -177,7 +177,7 @@
 			free = free.Plus(r.step.Reserved()) // it gives way already
 			continue
 		}
-		if r.mayGiveWay() && r.task.job.queue.Priority > t.job.queue.Priority {
+		if r.preemptible() && r.task.job.queue.Priority > t.job.queue.Priority {
 			candidates = append(candidates, r)
 		}
 	}
@@ -198,8 +198,8 @@
 	return nil, 0
 }
 
-// mayGiveWay reports whether the run may be stopped for a more urgent one.
-func (r *run) mayGiveWay() bool { return r.task != nil && !r.step.Lasting && !r.step.Gang }
+// preemptible reports whether the run may be stopped for a more urgent one.
+func (r *run) preemptible() bool { return r.task != nil && !r.step.Lasting && !r.step.Gang }
 
 // loss returns the work that stopping the run throws away, in millicore-milliseconds.
 func (r *run) loss(now cottonlanding.Millis) float64 {
--- a/internal/workflow/planner/pressure.go
+++ b/internal/workflow/planner/pressure.go
@@ -259,9 +259,9 @@
 	return part
 }
 
-// harmless reports whether a filling task would hardly disturb the serving tasks
+// withinInterferenceBudget reports whether a filling task would hardly disturb the serving tasks
 // of a worker, of which there are some.
-func (c *Cell) harmless(w *worker, step cottonlanding.Step, now cottonlanding.Millis) bool {
+func (c *Cell) withinInterferenceBudget(w *worker, step cottonlanding.Step, now cottonlanding.Millis) bool {
 	slacks := c.room(w, now).slacks
 	for _, s := range slacks {
 		if c.pressure.untried(step.Image, s.image) || c.pressure.weight(step.Image, s.image) > cottonlanding.LightWeight {
--- a/internal/workflow/planner/room.go
+++ b/internal/workflow/planner/room.go
@@ -74,7 +74,7 @@
 	case of.stopping:
 		r.stopping = r.stopping.Plus(of.step.Reserved())
 		return
-	case !of.mayGiveWay():
+	case !of.preemptible():
 		return
 	}
 	priority := of.task.job.queue.Priority
--- a/internal/workflow/planner/steady.go
+++ b/internal/workflow/planner/steady.go
@@ -32,7 +32,7 @@
 // noteEndSeen takes over what is known of the lives before, the last of which has ended.
 func (w *worker) noteEndSeen(before *worker, now cottonlanding.Millis) {
 	w.endsSeen, w.endSeenAt, w.metBefore = before.endsSeen, before.endSeenAt, before.answered > 0
-	at := before.fellSilent(now)
+	at := before.lastContact(now)
 	for _, r := range suspectsAmong(before.runs.all(), at) {
 		w.suspectsBefore = append(w.suspectsBefore, r.task)
 	}
--- a/internal/workflow/planner/together.go
+++ b/internal/workflow/planner/together.go
@@ -18,7 +18,7 @@
 	if near := inDataCentre(candidates, t.job.dataCentre); len(near) > 0 {
 		return near
 	}
-	t.job.dataCentre = c.roomiest(candidates, now)
+	t.job.dataCentre = c.mostFree(candidates, now)
 	return inDataCentre(candidates, t.job.dataCentre)
 }
 
@@ -32,8 +32,8 @@
 	return out
 }
 
-// roomiest returns the data centre in which the workers have most processors free.
-func (c *Cell) roomiest(workers []*worker, now cottonlanding.Millis) cottonlanding.DataCentre {
+// mostFree returns the data centre in which the workers have most processors free.
+func (c *Cell) mostFree(workers []*worker, now cottonlanding.Millis) cottonlanding.DataCentre {
 	free := make(map[cottonlanding.DataCentre]cottonlanding.Millicores)
 	best := workers[0].info.DataCentre
 	for _, w := range workers {
