--- a/internal/peer/messenger/ended.go
+++ b/internal/peer/messenger/ended.go
@@ -8,13 +8,14 @@
 	"time"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
 )
 
 const (
 	// endedTries is how many connections in a row must end at once for nobody to listen at an address, endedPause
 	// the pause between two: a process that is short of descriptors ends some.
 	endedTries = 2
-	endedPause = 50 * time.Millisecond
+	endedPause = 50 * cottonlanding.Millis(1)
 	// greetingTimeout is how long a process may take to greet a new connection. One that is slow, frozen or cut
 	// off says nothing, and counts as alive.
 	greetingTimeout = 300 * time.Millisecond
@@ -24,10 +25,10 @@
 // byte comes. Silence shows nothing.
 func (m *Messenger) Ended(ctx context.Context, address cottonlanding.Address) bool {
 	for try := range endedTries {
-		if try > 0 && !pause(ctx, endedPause) {
-			return false
+		if try > 0 {
+			pauser.Pause(ctx, endedPause)
 		}
-		if !m.endsAtOnce(ctx, address) {
+		if ctx.Err() != nil || !m.endsAtOnce(ctx, address) {
 			return false
 		}
 	}
@@ -49,15 +50,3 @@
 	_, err = connection.Read(make([]byte, 1))
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET)
 }
-
-// pause waits for a while, and reports whether the context lasts.
-func pause(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/workflow/driver/delegation.go
+++ b/internal/workflow/driver/delegation.go
@@ -38,13 +38,6 @@
 	}
 }
 
-// askGuestsSoon has other cells asked at once if they run tasks of this one.
-func (d *Driver) askGuestsSoon() {
-	if d.asksGuests {
-		wake(d.guestsDue)
-	}
-}
-
 // askGuests asks the cells that run tasks of this one, again and again.
 func (d *Driver) askGuests() {
 	asked := make(map[cottonlanding.CellNumber]*guestCell)
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -305,7 +305,6 @@
 			}
 			return took, false
 		}
-		d.askGuestsSoon()
 	}
 	d.flushOrders()
 	took.ended = d.deps.Clock.Now()
@@ -342,6 +341,9 @@
 			}
 			d.mu.Lock()
 			d.cell.Committed(plan, result.receipt.Version)
+			if d.cell.TakeGuestNews() {
+				wake(d.guestsDue)
+			}
 			d.wakeAttendants()
 			d.mu.Unlock()
 			return nil
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -328,7 +328,7 @@
 	g.mu.Lock()
 	g.closed = true
 	g.mu.Unlock()
-	g.endVigils()
+	g.reviewVigils()
 	var left sync.WaitGroup
 	for _, s := range *g.seats.Load() {
 		left.Go(func() { s.leave(ctx) })
@@ -346,7 +346,6 @@
 // Close ends the host's part.
 func (g *Gateway) Close(ctx context.Context) {
 	g.endLife()
-	g.endVigils()
 	g.layoutDuty.Close()
 	g.referralsDuty.Close()
 	for _, s := range *g.seats.Load() {
--- a/internal/workflow/gateway/vigil.go
+++ b/internal/workflow/gateway/vigil.go
@@ -42,25 +42,13 @@
 			s.vigil = nil
 		}
 		if wanted && s.vigil == nil {
-			ctx, cancel := context.WithCancel(context.Background())
+			ctx, cancel := context.WithCancel(g.life)
 			s.vigil = &vigil{version: view.Version, cancel: cancel}
 			go s.watch(ctx, view)
 		}
 	}
 }
 
-// endVigils ends all watches.
-func (g *Gateway) endVigils() {
-	g.vigilsMu.Lock()
-	defer g.vigilsMu.Unlock()
-	for _, s := range *g.seats.Load() {
-		if s.vigil != nil {
-			s.vigil.cancel()
-			s.vigil = nil
-		}
-	}
-}
-
 // watches reports whether this host watches the owner of the cell: with one cell hosts that would be among the first
 // to take it, with several the next other owners in the order of cells. A host that has just started
 // knows nothing of when owners wrote their last beats, and watches all.
--- a/internal/workflow/planner/delegation.go
+++ b/internal/workflow/planner/delegation.go
@@ -195,6 +195,14 @@
 // Delegating reports whether other cells may run tasks of this one.
 func (c *Cell) Delegating() bool { return len(c.away) > 0 }
 
+// TakeGuestNews reports whether a delegation, or the end of a workflow with such, was committed since it was last called:
+// what guest cells are to be told at once.
+func (c *Cell) TakeGuestNews() bool {
+	news := c.guestNews
+	c.guestNews = false
+	return news
+}
+
 // Delegations returns what to ask each cell that runs tasks of this one. Neither a delegation nor
 // the end of a workflow is told before it is committed.
 func (c *Cell) Delegations() map[cottonlanding.CellNumber][]DelegatedWorkflow {
@@ -283,9 +291,7 @@
 	}
 	t.setAway(taskWaiting)
 	t.number, t.crashes = told.Number, told.Crashes
-	if told.Checkpoint != "" {
-		t.checkpoint = knownCheckpoint{text: told.Checkpoint, how: checkpointLoaded, run: told.Number, at: now}
-	}
+	t.takeCheckpoint(told, now)
 	if t.returnedBy == nil {
 		t.returnedBy = make(map[cottonlanding.CellNumber]cottonlanding.Millis)
 	}
@@ -295,6 +301,13 @@
 	c.log.Info("delegated task returned", "Task", t.ref.String(), "Run", t.number, "From", from, "Waited", now-t.since)
 }
 
+// takeCheckpoint takes over the newest text of a task that passes from one cell to another.
+func (t *task) takeCheckpoint(told DelegatedTask, now cottonlanding.Millis) {
+	if told.Checkpoint != "" && t.stage.Checkpoints {
+		t.checkpoint = knownCheckpoint{text: cottonlanding.NewCheckpoint(string(told.Checkpoint)), how: checkpointLoaded, run: told.Number, at: now}
+	}
+}
+
 // noteDelegateRuns notes that a task of the workflow runs in another cell.
 func (c *Cell) noteDelegateRuns(j *job) {
 	if j.begun {
--- a/internal/workflow/planner/guest.go
+++ b/internal/workflow/planner/guest.go
@@ -143,9 +143,7 @@
 	t.setAway(taskWaiting)
 	t.number, t.crashes, t.since = told.Number, told.Crashes, now
 	t.stage.ready = true
-	if told.Checkpoint != "" && t.stage.Checkpoints {
-		t.checkpoint = knownCheckpoint{text: cottonlanding.NewCheckpoint(string(told.Checkpoint)), how: checkpointLoaded, run: told.Number, at: now}
-	}
+	t.takeCheckpoint(told, now)
 	c.touch(t.job)
 	c.reportedAt = 0
 	c.log.Info("guest task accepted", "Task", t.ref.String(), "Run", t.number, "Keeper", t.job.guestOf)
--- /dev/null
+++ b/internal/workflow/planner/neighbours_test.go
@@ -0,0 +1,194 @@
+package planner_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/policy/selector"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+const (
+	// startsUntil is how long after a cancellation was acknowledged a task may still start. Source: the
+	// users' rule on cancelled jobs.
+	startsUntil = 3 * cottonlanding.Second
+	// runsAgainWithin is how soon a lasting task must run where another cell has room. Source: the users' rule
+	// on lost tasks.
+	runsAgainWithin = 9 * cottonlanding.Second
+)
+
+// question is one that a keeper has sent, answer one that a guest cell has.
+type sentQuestion struct {
+	to       int
+	question planner.DelegationQuestion
+}
+
+type sentAnswer struct {
+	keeper, from int
+	answer       planner.DelegationAnswer
+}
+
+// neighbours plays several cells with one clock and one set of workers, each cell with rows and owners of
+// its own.
+type neighbours struct {
+	t       require.TestingT
+	cells   []*world
+	stamps  map[[2]int]planner.DelegationStamp
+	late    []sentQuestion
+	overdue []sentAnswer
+	// cancelledAt is when the cancellation of a workflow was acknowledged.
+	cancelledAt map[cottonlanding.WorkflowID]cottonlanding.Millis
+	broken      []string
+	// choose chooses where the tasks of a cell go that go well.
+	choose func(cell int) func(planner.Delegable) (int, bool)
+}
+
+func newNeighbours(t require.TestingT, count, workers int) *neighbours {
+	n := &neighbours{t: t, stamps: make(map[[2]int]planner.DelegationStamp), cancelledAt: make(map[cottonlanding.WorkflowID]cottonlanding.Millis)}
+	n.choose = n.roomy
+	for number := range count {
+		w := newWorldOf(t, selector.Default().Planner)
+		w.workers, w.lives = nil, 100*number
+		if number > 0 {
+			w.runner = n.cells[0].runner
+		}
+		for range workers {
+			w.addWorker()
+		}
+		w.started = func(order planner.Order) { n.checkStart(order) }
+		w.takeOver()
+		n.cells = append(n.cells, w)
+	}
+	return n
+}
+
+// checkStart holds a start against the cancellation of its workflow.
+func (n *neighbours) checkStart(order planner.Order) {
+	at, cancelled := n.cancelledAt[order.Start.Task.Workflow]
+	if cancelled && n.cells[0].now-at > startsUntil {
+		n.broken = append(n.broken, fmt.Sprintf("%s starts %d ms after its workflow was cancelled", order.Start.Task.String(), n.cells[0].now-at))
+	}
+}
+
+func (n *neighbours) wait(span cottonlanding.Millis) {
+	for _, w := range n.cells {
+		w.now += span
+	}
+}
+
+// syncClocks has all cells follow the one that is ahead.
+func (n *neighbours) syncClocks() {
+	latest := cottonlanding.Millis(0)
+	for _, w := range n.cells {
+		latest = max(latest, w.now)
+	}
+	for _, w := range n.cells {
+		w.now = latest
+	}
+}
+
+func (n *neighbours) cancel(cell int, id cottonlanding.WorkflowID) {
+	w := n.cells[cell]
+	w.cell.Cancel(id, w.now, func(err error) {
+		if _, known := n.cancelledAt[id]; err == nil && !known {
+			n.cancelledAt[id] = w.now
+		}
+	})
+}
+
+// takeOver gives a cell its next owner; what was on its way to the one before gets lost.
+func (n *neighbours) takeOver(cell int) {
+	n.cells[cell].takeOver()
+	for to := range n.cells {
+		delete(n.stamps, [2]int{cell, to})
+	}
+	n.overdue = slices.DeleteFunc(n.overdue, func(a sentAnswer) bool { return a.keeper == cell })
+}
+
+// delegate has a cell delegate what it may to a cell that is chosen for each task. No cell is a home, so that
+// workflows of which nothing has begun go this way as well.
+func (n *neighbours) delegate(cell int, choose func(planner.Delegable) (int, bool)) {
+	w := n.cells[cell]
+	for _, task := range w.cell.Delegables(100, func(cottonlanding.WorkflowID) bool { return false }, w.now) {
+		if to, found := choose(task); found {
+			w.cell.Delegate(task.Ref, cottonlanding.CellNumber(to), w.now)
+		}
+	}
+}
+
+// roomy chooses a cell of which a worker has room, as hosts do.
+func (n *neighbours) roomy(cell int) func(planner.Delegable) (int, bool) {
+	return func(task planner.Delegable) (int, bool) {
+		for at, w := range n.cells {
+			report, usable := w.cell.Report(w.now)
+			avoided := slices.Contains(task.Avoid, cottonlanding.CellNumber(at))
+			if at != cell && usable && !avoided && task.Need.Fits(report.Largest[task.Service]) {
+				return at, true
+			}
+		}
+		return 0, false
+	}
+}
+
+// ask asks the cells that run tasks of one; fault decides what becomes of each question.
+func (n *neighbours) ask(cell int, fault func() string) {
+	keeper := n.cells[cell]
+	asked := keeper.cell.Delegations()
+	for _, to := range slices.Sorted(maps.Keys(asked)) {
+		at := [2]int{cell, int(to)}
+		question := planner.DelegationQuestion{Keeper: cottonlanding.CellNumber(cell), Last: n.stamps[at], Workflows: asked[to]}
+		guest := n.cells[to]
+		switch fault() {
+		case "lost":
+		case "late":
+			n.late = append(n.late, sentQuestion{int(to), question})
+		case "unanswered":
+			guest.cell.HoldGuests(question, guest.now)
+		case "overdue":
+			n.overdue = append(n.overdue, sentAnswer{cell, int(to), guest.cell.HoldGuests(question, guest.now)})
+		default:
+			answer := guest.cell.HoldGuests(question, guest.now)
+			n.stamps[at] = answer.Stamp
+			keeper.cell.Reported(to, answer, keeper.now)
+		}
+	}
+}
+
+// turn lets all go well for a while.
+func (n *neighbours) turn(span cottonlanding.Millis) {
+	n.wait(span)
+	for cell, w := range n.cells {
+		w.turn(0)
+		n.delegate(cell, n.choose(cell))
+		w.turn(0)
+		n.ask(cell, func() string { return "" })
+	}
+}
+
+func (n *neighbours) check(t require.TestingT) {
+	require.Empty(t, n.cells[0].runner.Violations())
+	require.Empty(t, n.broken)
+}
+
+// deliverLate has everything arrive that was on its way.
+func (n *neighbours) deliverLate() {
+	for _, sent := range n.late {
+		n.cells[sent.to].cell.HoldGuests(sent.question, n.cells[sent.to].now)
+	}
+	for _, sent := range n.overdue {
+		n.cells[sent.keeper].cell.Reported(cottonlanding.CellNumber(sent.from), sent.answer, n.cells[sent.keeper].now)
+	}
+	n.late, n.overdue = nil, nil
+}
+
+var lastingCore = cottonlanding.Step{Tasks: 1, Resources: cottonlanding.Resources{CPU: 1000, Memory: cottonlanding.Gigabyte}, Lasting: true}
+
+func lastingCores(tasks int) cottonlanding.Step {
+	step := lastingCore
+	step.Tasks = tasks
+	return step
+}
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -304,6 +304,7 @@
 		}
 	}
 	for _, t := range plan.away {
+		c.guestNews = c.guestNews || !t.awayCommitted || t.job.shown.Final()
 		t.awayCommitted = true
 	}
 	c.noteReferred(plan.referred, version)
