Duties wait for no timer that is due already

Cause: a goroutine of a synctest bubble that receives from a channel timer which is due already runs that timer itself, and the race detector of go1.26.8 doesn't stand that. The stack of a crash ends in Driver.await -> selectgo -> timer.maybeRunChan with a span of -935 ms. A program of thirty lines without this project's code shows it: twenty goroutines that select on expired timers crash in 3 of 8 runs, 350 in 8 of 8, twenty with a time.Ticker whose tick passed while they slept in 3 of 10, twenty that receive from time.After(0) in 4 of 10.

Ruled out: the number of goroutines (350 with timers in the future: 0 of 8), the load of the machine (the crashes come on an idle one), deadlines of contexts (0 of 10), the same outside of a bubble (0 of 10) and without the race detector (0 of 10).

Change: pauser.Wait returns at once if its span is over, and the duties' ticker holds no timer while a duty is at work. Both are what the duties did before with a timer more: a missed turn is made up by one at once, then the grid goes on.

Measured: TestPausesThatAreOverDoNotCrashTheRaceDetector 10 of 10 red on the former code, 0 of 10 on this.

--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -11,11 +11,11 @@
 	"errors"
 	"fmt"
 	"sync"
-	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
 )
 
 // Prefix is where the session rows are.
@@ -176,17 +176,9 @@
 
 func (r *Registrar) run() {
 	interval := r.ttl / renewalsPerTTL
-	timer := time.NewTimer(0)
-	defer timer.Stop()
-	for {
-		select {
-		case <-r.ctx.Done():
-			return
-		case <-r.nudge:
-		case <-timer.C:
-		}
+	for r.ctx.Err() == nil {
 		r.renew(interval)
-		timer.Reset(interval.Duration())
+		pauser.Wait(r.ctx, interval, r.nudge)
 	}
 }
 
--- a/internal/daemon/runner/hosts.go
+++ b/internal/daemon/runner/hosts.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
 	"github.com/cottonlanding/cottonlanding/internal/peer/exchanger"
 )
 
@@ -17,8 +17,8 @@
 )
 
 func (r *Runner) followHosts() {
-	ticker := time.NewTicker(refreshEvery.Duration())
-	defer ticker.Stop()
+	turns := ticker.New(refreshEvery)
+	defer turns.Stop()
 	var executors []cottonlanding.ExecutorInfo
 	for turn := 0; ; turn++ {
 		if turn%hostsEvery == 0 {
@@ -41,7 +41,7 @@
 		case <-r.ctx.Done():
 			return
 		case <-r.evacuatedDue:
-		case <-ticker.C:
+		case <-turns.Next():
 		}
 	}
 }
--- a/internal/daemon/runner/jobs.go
+++ b/internal/daemon/runner/jobs.go
@@ -4,12 +4,12 @@
 	"context"
 	"errors"
 	"sync"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/observer"
+	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
 )
 
 const (
@@ -58,13 +58,13 @@
 // submitJobs submits the jobs of the operators' file that fall to this daemon.
 // Submitting is idempotent, so that two daemons that disagree do no harm.
 func (r *Runner) submitJobs() {
-	ticker := time.NewTicker(submitEvery.Duration())
-	defer ticker.Stop()
+	turns := ticker.New(submitEvery)
+	defer turns.Stop()
 	for {
 		select {
 		case <-r.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-turns.Next():
 		}
 		for _, spec := range r.submitted.list() {
 			if fallsTo(r.observer.View(), spec.Name) == r.registrar.Session().ID {
--- a/internal/duty/pauser/pauser_test.go
+++ b/internal/duty/pauser/pauser_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,3 +27,21 @@
 		require.Equal(t, 3*time.Second, time.Since(began))
 	})
 }
+
+// TestPausesThatAreOverDoNotCrashTheRaceDetector guards against timers that are due before
+// anybody waits for them: receiving from one inside of a synctest bubble crashes the race
+// detector of Go, and with it all tests of the package.
+func TestPausesThatAreOverDoNotCrashTheRaceDetector(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var duties sync.WaitGroup
+		for range 20 {
+			duties.Go(func() {
+				for range 4000 {
+					pauser.Pause(t.Context(), -cottonlanding.Second)
+					pauser.Pause(t.Context(), 1)
+				}
+			})
+		}
+		duties.Wait()
+	})
+}
--- a/internal/duty/repeater/repeater.go
+++ b/internal/duty/repeater/repeater.go
@@ -4,9 +4,9 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
 )
 
 // Repeater runs one duty.
@@ -29,14 +29,14 @@
 }
 
 func (r *Repeater) run(ctx context.Context, interval cottonlanding.Millis, step func(ctx context.Context)) {
-	ticker := time.NewTicker(interval.Duration())
-	defer ticker.Stop()
+	turns := ticker.New(interval)
+	defer turns.Stop()
 	for {
 		step(ctx)
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-turns.Next():
 		case <-r.nudge:
 		}
 		if ctx.Err() != nil {
--- a/internal/log/writer/writer.go
+++ b/internal/log/writer/writer.go
@@ -6,11 +6,14 @@
 	"io"
 	"sync"
 	"time"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
 )
 
 const (
 	// flushEvery is how long lines wait to be written together.
-	flushEvery = 100 * time.Millisecond
+	flushEvery cottonlanding.Millis = 100
 	// linesPerSecond bounds the lines, so that logging can't take the processor
 	// from the work: five times the usual traffic fits.
 	linesPerSecond = 1500
@@ -68,11 +71,11 @@
 }
 
 func (w *Writer) run() {
-	ticker := time.NewTicker(flushEvery)
-	defer ticker.Stop()
+	turns := ticker.New(flushEvery)
+	defer turns.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-turns.Next():
 			w.flush()
 		case <-w.stop:
 			w.flush()
--- a/internal/operators/sharer/sharer.go
+++ b/internal/operators/sharer/sharer.go
@@ -150,7 +150,11 @@
 // await waits for a copy that is newer than version, until the next look is due. It reports
 // whether there is one.
 func (s *Sharer) await(ctx context.Context, version cottonlanding.Version, lookEvery cottonlanding.Millis) bool {
-	due := time.NewTimer((s.lookedAt + lookEvery - s.deps.Clock.Now()).Duration())
+	left := s.lookedAt + lookEvery - s.deps.Clock.Now()
+	if left <= 0 {
+		return false
+	}
+	due := time.NewTimer(left.Duration())
 	defer due.Stop()
 	for {
 		select {
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -8,11 +8,11 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/follower"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/observer"
+	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
 	"github.com/cottonlanding/cottonlanding/internal/job/router"
 	"github.com/cottonlanding/cottonlanding/internal/peer/messenger"
 	"github.com/cottonlanding/cottonlanding/internal/peer/wire"
@@ -141,15 +141,15 @@
 }
 
 func (e *Exchanger) run() {
-	ticker := time.NewTicker(interval.Duration())
-	defer ticker.Stop()
+	turns := ticker.New(interval)
+	defer turns.Stop()
 	for {
 		select {
 		case <-e.ctx.Done():
 			return
 		case <-e.nudge:
 			e.round(len(e.addresses()), e.released.Swap(false))
-		case <-ticker.C:
+		case <-turns.Next():
 			e.round(peersPerRound, false)
 		}
 	}
--- a/internal/placement/owner/owner.go
+++ b/internal/placement/owner/owner.go
@@ -19,6 +19,7 @@
 	"github.com/cottonlanding/cottonlanding/internal/coordination/registrar"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/seizer"
 	"github.com/cottonlanding/cottonlanding/internal/duty/buffer"
+	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
 	"github.com/cottonlanding/cottonlanding/internal/placement/scheduler"
 )
 
@@ -232,8 +233,8 @@
 }
 
 func (o *Owner) run() {
-	ticker := time.NewTicker(tick.Duration())
-	defer ticker.Stop()
+	turns := ticker.New(tick)
+	defer turns.Stop()
 	for {
 		select {
 		case <-o.ctx.Done():
@@ -242,7 +243,7 @@
 		case e := <-o.ring.Items():
 			e.apply(o, o.deps.Clock.Now())
 			o.drainRing()
-		case <-ticker.C:
+		case <-turns.Next():
 		}
 		o.step(o.deps.Clock.Now())
 	}
--- a/internal/request/dispatcher/dispatcher.go
+++ b/internal/request/dispatcher/dispatcher.go
@@ -9,9 +9,9 @@
 	"context"
 	"fmt"
 	"sync"
-	"time"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
 	"github.com/cottonlanding/cottonlanding/internal/request/claimer"
 	"github.com/cottonlanding/cottonlanding/internal/request/lender"
 )
@@ -170,13 +170,13 @@
 }
 
 func (d *Dispatcher) poll() {
-	ticker := time.NewTicker(pollEvery.Duration())
-	defer ticker.Stop()
+	turns := ticker.New(pollEvery)
+	defer turns.Stop()
 	for {
 		select {
 		case <-d.stop:
 			return
-		case <-ticker.C:
+		case <-turns.Next():
 		}
 		for _, s := range d.all() {
 			s.poll()
--- a/internal/request/dispatcher/service.go
+++ b/internal/request/dispatcher/service.go
@@ -37,6 +37,9 @@
 // errOverload reports a request that could not be run in time.
 var errOverload = errors.New("overloaded")
 
+// errTooLate reports a request whose deadline passed while it waited for a slot.
+var errTooLate = fmt.Errorf("%w: the deadline can't be met any more", errOverload)
+
 // service is one service's queue and pool.
 type service struct {
 	clock cottonlanding.Clock
@@ -175,13 +178,17 @@
 	if err != nil || w == nil {
 		return info, err
 	}
-	timer := time.NewTimer(s.patience(deadline).Duration())
+	patience := s.patience(deadline)
+	if patience == 0 {
+		return s.giveUp(w, errTooLate)
+	}
+	timer := time.NewTimer(patience.Duration())
 	defer timer.Stop()
 	select {
 	case g := <-w.given:
 		return g.executor, nil
 	case <-timer.C:
-		return s.giveUp(w, fmt.Errorf("%w: the deadline can't be met any more", errOverload))
+		return s.giveUp(w, errTooLate)
 	case <-ctx.Done():
 		return s.giveUp(w, ctx.Err())
 	}
--- a/internal/workflow/driver/attendant.go
+++ b/internal/workflow/driver/attendant.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
@@ -102,13 +103,7 @@
 }
 
 func (d *Driver) await(woken chan struct{}, span cottonlanding.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-woken:
-	case <-d.ctx.Done():
-	}
+	pauser.Wait(d.ctx, span, woken)
 }
 
 // wakeAttendants lets attendants look again that waited for a commit.
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -15,6 +15,7 @@
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/committer"
 	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
+	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
@@ -247,8 +248,8 @@
 	d.work.Go(d.tellAnswers)
 	d.work.Go(d.followSiblings)
 	d.work.Go(d.deliverAll)
-	ticker := time.NewTicker(tick.Duration())
-	defer ticker.Stop()
+	turns := ticker.New(tick)
+	defer turns.Stop()
 	for {
 		took, goOn := d.turn()
 		if !goOn {
@@ -261,7 +262,7 @@
 		case <-d.stopping:
 			return
 		case <-d.decisionsDue:
-		case <-ticker.C:
+		case <-turns.Next():
 		}
 	}
 }
@@ -375,13 +376,7 @@
 
 // pause is sleep, but for a driver that is being released.
 func (d *Driver) pause(span cottonlanding.Millis) {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-d.stopping:
-	case <-d.ctx.Done():
-	}
+	pauser.Wait(d.ctx, span, d.stopping)
 }
 
 func (d *Driver) sleep(span cottonlanding.Millis) { pauser.Pause(d.ctx, span) }
--- a/internal/workflow/driver/sender.go
+++ b/internal/workflow/driver/sender.go
@@ -3,24 +3,24 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
 // sendOrders gives out what is due, again and again. It waits neither for decisions
 // nor for commits: an order is only due once the rows that allow it are committed.
 func (d *Driver) sendOrders() {
-	ticker := time.NewTicker(tick.Duration())
-	defer ticker.Stop()
+	turns := ticker.New(tick)
+	defer turns.Stop()
 	for d.ctx.Err() == nil {
 		d.dispatch()
 		d.sleep(spacing)
 		select {
 		case <-d.ctx.Done():
 		case <-d.ordersDue:
-		case <-ticker.C:
+		case <-turns.Next():
 		}
 	}
 }
