One type for a call to wake a duty

A channel that holds one signal, and is left alone if there is one, stood in seven places under the names wake, signal, Nudge and none. It is duty/waker.Waker. Behaviour as before.

--- a/internal/coordination/registrar/registrar.go
+++ b/internal/coordination/registrar/registrar.go
@@ -16,6 +16,7 @@
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
+	"github.com/cottonlanding/cottonlanding/internal/duty/waker"
 )
 
 // Prefix is where the session rows are.
@@ -65,7 +66,7 @@
 	renewals   int64
 	failures   int64
 
-	nudge  chan struct{}
+	nudge  waker.Waker
 	ctx    context.Context
 	cancel context.CancelFunc
 	ended  chan struct{}
@@ -88,7 +89,7 @@
 		clock:   clock,
 		ttl:     ttl,
 		session: session,
-		nudge:   make(chan struct{}, 1),
+		nudge:   waker.New(),
 		ctx:     ctx,
 		cancel:  cancel,
 		ended:   make(chan struct{}),
@@ -150,10 +151,7 @@
 	r.mu.Lock()
 	edit(&r.session)
 	r.mu.Unlock()
-	select {
-	case r.nudge <- struct{}{}:
-	default:
-	}
+	r.nudge.Wake()
 }
 
 // Close stops renewing and deletes the row if the table can be reached.
--- a/internal/daemon/runner/configuration.go
+++ b/internal/daemon/runner/configuration.go
@@ -58,10 +58,7 @@
 	r.log.Info("configuration in force", "Generation", snapshot.Generation, "Evacuated", configuration.Evacuated)
 	if evacuated := configuration.Evacuates(r.settings.DataCentre); r.evacuated.Swap(evacuated) != evacuated {
 		r.log.Info("data centre evacuated", "DataCentre", r.settings.DataCentre, "Evacuated", evacuated)
-		select {
-		case r.evacuatedDue <- struct{}{}:
-		default: // it is looked at anyway
-		}
+		r.evacuatedDue.Wake()
 	}
 }
 
--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -15,6 +15,7 @@
 	"github.com/cottonlanding/cottonlanding/internal/coordination/follower"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/observer"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/registrar"
+	"github.com/cottonlanding/cottonlanding/internal/duty/waker"
 	"github.com/cottonlanding/cottonlanding/internal/job/router"
 	"github.com/cottonlanding/cottonlanding/internal/metrics/reporter"
 	"github.com/cottonlanding/cottonlanding/internal/peer/exchanger"
@@ -85,7 +86,7 @@
 	// evacuated says that nothing new starts in this data centre, evacuatedDue that this has
 	// just changed.
 	evacuated    atomic.Bool
-	evacuatedDue chan struct{}
+	evacuatedDue waker.Waker
 	drainOnce    sync.Once
 	drained      chan struct{}
 	hostFailures atomic.Int64
@@ -120,7 +121,7 @@
 		cancel:    cancel,
 		drained:   make(chan struct{}),
 
-		evacuatedDue: make(chan struct{}, 1),
+		evacuatedDue: waker.New(),
 	}
 	peerServer := &exchanger.Server{}
 	var err error
--- a/internal/duty/repeater/repeater.go
+++ b/internal/duty/repeater/repeater.go
@@ -7,12 +7,13 @@
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
+	"github.com/cottonlanding/cottonlanding/internal/duty/waker"
 )
 
 // Repeater runs one duty.
 type Repeater struct {
 	cancel context.CancelFunc
-	nudge  chan struct{}
+	nudge  waker.Waker
 	ended  chan struct{}
 }
 
@@ -20,7 +21,7 @@
 // is closed. The context of a step ends with the repeater.
 func New(interval cottonlanding.Millis, step func(ctx context.Context)) *Repeater {
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Repeater{cancel: cancel, nudge: make(chan struct{}, 1), ended: make(chan struct{})}
+	r := &Repeater{cancel: cancel, nudge: waker.New(), ended: make(chan struct{})}
 	go func() {
 		defer close(r.ended)
 		r.run(ctx, interval, step)
@@ -47,10 +48,7 @@
 
 // Nudge runs the step as soon as the present one has ended.
 func (r *Repeater) Nudge() {
-	select {
-	case r.nudge <- struct{}{}:
-	default:
-	}
+	r.nudge.Wake()
 }
 
 // Close ends the duty and waits for a step that is under way.
--- a/internal/operators/sharer/sharer.go
+++ b/internal/operators/sharer/sharer.go
@@ -19,6 +19,7 @@
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
+	"github.com/cottonlanding/cottonlanding/internal/duty/waker"
 )
 
 const (
@@ -55,8 +56,8 @@
 type Sharer struct {
 	deps Dependencies
 	// came holds a signal when there is another copy, changed when there is something to copy.
-	came    chan struct{}
-	changed chan struct{}
+	came    waker.Waker
+	changed waker.Waker
 
 	// The fields below belong to the reader's goroutine.
 	// lookedAt is when this host last looked at the table itself.
@@ -84,11 +85,11 @@
 func New(ctx context.Context, deps Dependencies) *Sharer {
 	s := &Sharer{
 		deps:    deps,
-		came:    make(chan struct{}, 1),
-		changed: make(chan struct{}, 1),
+		came:    waker.New(),
+		changed: waker.New(),
 		rows:    make(map[string]cottonlanding.FeedRow),
 	}
-	deps.Roll.Listen(deps.Key, func() { signal(s.came) })
+	deps.Roll.Listen(deps.Key, s.came.Wake)
 	go func() {
 		for ctx.Err() == nil {
 			select {
@@ -102,14 +103,6 @@
 	return s
 }
 
-// signal leaves a signal, if there is none yet.
-func signal(channel chan struct{}) {
-	select {
-	case channel <- struct{}{}:
-	default:
-	}
-}
-
 // Read implements cottonlanding.Feed. What isn't known at all is read from the table.
 func (s *Sharer) Read(ctx context.Context, version cottonlanding.Version, wait cottonlanding.Millis) (cottonlanding.FeedReading, error) {
 	if version > 0 && s.deps.Waits() {
@@ -204,7 +197,7 @@
 	}
 	s.version = news.Version
 	if len(news.Rows) > 0 && s.deps.Writes() {
-		signal(s.changed)
+		s.changed.Wake()
 	}
 }
 
--- a/internal/peer/exchanger/exchanger.go
+++ b/internal/peer/exchanger/exchanger.go
@@ -13,6 +13,7 @@
 	"github.com/cottonlanding/cottonlanding/internal/coordination/follower"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/observer"
 	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
+	"github.com/cottonlanding/cottonlanding/internal/duty/waker"
 	"github.com/cottonlanding/cottonlanding/internal/job/router"
 	"github.com/cottonlanding/cottonlanding/internal/peer/messenger"
 	"github.com/cottonlanding/cottonlanding/internal/peer/wire"
@@ -56,7 +57,7 @@
 	// released says that the next round tells of a cell that was given up.
 	released atomic.Bool
 
-	nudge  chan struct{}
+	nudge  waker.Waker
 	ctx    context.Context
 	cancel context.CancelFunc
 	ended  chan struct{}
@@ -89,7 +90,7 @@
 	e := &Exchanger{
 		deps:   deps,
 		peers:  make(map[cottonlanding.Address]*peer),
-		nudge:  make(chan struct{}, 1),
+		nudge:  waker.New(),
 		ctx:    ctx,
 		cancel: cancel,
 		ended:  make(chan struct{}),
@@ -103,10 +104,7 @@
 
 // Nudge exchanges with all peers at once.
 func (e *Exchanger) Nudge() {
-	select {
-	case e.nudge <- struct{}{}:
-	default:
-	}
+	e.nudge.Wake()
 }
 
 // NudgeReleased tells all peers at once that a cell was given up.
--- a/internal/workflow/driver/attendant.go
+++ b/internal/workflow/driver/attendant.go
@@ -6,6 +6,7 @@
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
+	"github.com/cottonlanding/cottonlanding/internal/duty/waker"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
@@ -15,7 +16,7 @@
 const lookSpacing = 50 * cottonlanding.Millis(1)
 
 // attend looks at one worker again and again until the worker is gone.
-func (d *Driver) attend(id cottonlanding.WorkerID, woken chan struct{}) {
+func (d *Driver) attend(id cottonlanding.WorkerID, woken waker.Waker) {
 	defer func() {
 		d.mu.Lock()
 		defer d.mu.Unlock()
@@ -102,7 +103,7 @@
 	return until > 0 && now < until+d.timing.CutOffGrace
 }
 
-func (d *Driver) await(woken chan struct{}, span cottonlanding.Millis) {
+func (d *Driver) await(woken waker.Waker, span cottonlanding.Millis) {
 	pauser.Wait(d.ctx, span, woken)
 }
 
@@ -110,7 +111,7 @@
 func (d *Driver) wakeAttendants() {
 	for id, attendant := range d.attended {
 		if d.cell.Seen(id) {
-			wake(attendant)
+			attendant.Wake()
 		}
 	}
 }
@@ -150,7 +151,7 @@
 	}
 	d.cell.Looked(next, report, sentAt, cameAt)
 	if len(report.Ended) > 0 {
-		wake(d.decisionsDue)
+		d.decisionsDue.Wake()
 	}
 	d.flushOrders()
 	return len(report.Ended), true
--- a/internal/workflow/driver/calls.go
+++ b/internal/workflow/driver/calls.go
@@ -96,7 +96,7 @@
 	}); err != nil {
 		return err
 	}
-	wake(d.decisionsDue)
+	d.decisionsDue.Wake()
 	d.flushOrders()
 	select {
 	case err := <-done:
@@ -177,7 +177,7 @@
 	if err != nil {
 		return // the next owner asks again
 	}
-	wake(d.decisionsDue)
+	d.decisionsDue.Wake()
 }
 
 // Counts returns what the cell has counted.
--- a/internal/workflow/driver/delegation.go
+++ b/internal/workflow/driver/delegation.go
@@ -90,7 +90,7 @@
 		if err := g.driver.with(func(cell *planner.Cell, now cottonlanding.Millis) { cell.Reported(g.cell, answer, now) }); err != nil {
 			return // it isn't owned any more
 		}
-		wake(g.driver.decisionsDue)
+		g.driver.decisionsDue.Wake()
 		if known {
 			return
 		}
@@ -116,7 +116,7 @@
 	var answer planner.DelegationAnswer
 	err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { answer = cell.HoldGuests(question, now) })
 	if err == nil {
-		wake(d.decisionsDue)
+		d.decisionsDue.Wake()
 	}
 	return answer, err
 }
@@ -136,5 +136,5 @@
 	if err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { cell.SettleGuest(id, goesOn, now) }); err != nil {
 		return // the next owner asks again
 	}
-	wake(d.decisionsDue)
+	d.decisionsDue.Wake()
 }
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -16,6 +16,7 @@
 	"github.com/cottonlanding/cottonlanding/internal/coordination/committer"
 	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
 	"github.com/cottonlanding/cottonlanding/internal/duty/ticker"
+	"github.com/cottonlanding/cottonlanding/internal/duty/waker"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
@@ -96,7 +97,7 @@
 
 	mu       sync.Mutex // guards the fields below
 	cell     *planner.Cell
-	attended map[cottonlanding.WorkerID]chan struct{}
+	attended map[cottonlanding.WorkerID]waker.Waker
 	listed   []cottonlanding.WorkerInfo
 	// movedAt is when it was last looked for workflows to hand over, delegatedAt for tasks to delegate.
 	movedAt     cottonlanding.Millis
@@ -113,10 +114,10 @@
 	reported atomic.Pointer[reported]
 	// asksGuests says that other cells are asked about tasks that they run, guestsDue has that done soon.
 	asksGuests bool
-	guestsDue  chan struct{}
+	guestsDue  waker.Waker
 	// decisionsDue and ordersDue wake the two loops before their next tick.
-	decisionsDue chan struct{}
-	ordersDue    chan struct{}
+	decisionsDue waker.Waker
+	ordersDue    waker.Waker
 	// promptLooks holds a place for each look that asks for an answer at once.
 	promptLooks chan struct{}
 	// promptTook is how long the last of those that was answered took, in milliseconds.
@@ -146,14 +147,14 @@
 		setup:        setup,
 		timing:       timing,
 		policy:       policy,
-		attended:     make(map[cottonlanding.WorkerID]chan struct{}),
+		attended:     make(map[cottonlanding.WorkerID]waker.Waker),
 		promptLooks:  make(chan struct{}, mostPromptLooks),
 		outbox:       newOutbox(),
 		cordon:       newCordon(deps),
 		meter:        newMeter(deps.Log),
-		guestsDue:    make(chan struct{}, 1),
-		decisionsDue: make(chan struct{}, 1),
-		ordersDue:    make(chan struct{}, 1),
+		guestsDue:    waker.New(),
+		decisionsDue: waker.New(),
+		ordersDue:    waker.New(),
 		stopping:     make(chan struct{}),
 		ended:        make(chan struct{}),
 		ctx:          ctx,
@@ -220,14 +221,6 @@
 	}
 }
 
-// wake wakes a loop, or leaves it be if it is to wake anyway.
-func wake(loop chan struct{}) {
-	select {
-	case loop <- struct{}{}:
-	default:
-	}
-}
-
 func (d *Driver) run() {
 	guard, err := d.claim()
 	if err != nil {
@@ -343,7 +336,7 @@
 			d.mu.Lock()
 			d.cell.Committed(plan, result.receipt.Version)
 			if d.cell.TakeGuestNews() {
-				wake(d.guestsDue)
+				d.guestsDue.Wake()
 			}
 			d.wakeAttendants()
 			d.mu.Unlock()
--- a/internal/workflow/driver/handover.go
+++ b/internal/workflow/driver/handover.go
@@ -86,5 +86,5 @@
 	if err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { cell.HandedOver(workflow.ID, now) }); err != nil {
 		return // the next owner tells it again
 	}
-	wake(d.decisionsDue)
+	d.decisionsDue.Wake()
 }
--- a/internal/workflow/driver/outbox.go
+++ b/internal/workflow/driver/outbox.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/waker"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
@@ -32,7 +33,7 @@
 // the cell's lock.
 type outbox struct {
 	// answersDue tells that there are answers.
-	answersDue chan struct{}
+	answersDue waker.Waker
 
 	mu       sync.Mutex
 	streams  map[stream][]planner.Order
@@ -40,7 +41,7 @@
 }
 
 func newOutbox() *outbox {
-	return &outbox{answersDue: make(chan struct{}, 1), streams: make(map[stream][]planner.Order)}
+	return &outbox{answersDue: waker.New(), streams: make(map[stream][]planner.Order)}
 }
 
 // add queues an order, and reports whether nobody sends the orders of its stream yet.
@@ -71,7 +72,7 @@
 	o.mu.Lock()
 	o.answered = append(o.answered, a)
 	o.mu.Unlock()
-	wake(o.answersDue)
+	o.answersDue.Wake()
 }
 
 // answers takes the answers that came.
--- a/internal/workflow/driver/refresh.go
+++ b/internal/workflow/driver/refresh.go
@@ -1,6 +1,9 @@
 package driver
 
-import "github.com/cottonlanding/cottonlanding"
+import (
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/waker"
+)
 
 // refresh takes in the newest configuration, evacuations and list of workers.
 func (d *Driver) refresh(now cottonlanding.Millis) {
@@ -14,7 +17,7 @@
 	d.cell.SetWorkers(workers, now)
 	for _, w := range workers {
 		if d.attended[w.ID] == nil && d.cell.Attends(w.ID) {
-			woken := make(chan struct{}, 1)
+			woken := waker.New()
 			d.attended[w.ID] = woken
 			d.work.Go(func() { d.attend(w.ID, woken) })
 		}
--- a/internal/workflow/driver/sender.go
+++ b/internal/workflow/driver/sender.go
@@ -26,7 +26,7 @@
 }
 
 // flushOrders has the orders looked through soon.
-func (d *Driver) flushOrders() { wake(d.ordersDue) }
+func (d *Driver) flushOrders() { d.ordersDue.Wake() }
 
 // dispatch hands the due orders to one goroutine for each stream.
 func (d *Driver) dispatch() {
