One silent cell holds up no hand-over and no question to others

Callers of a deployment with several cells waited for workflows that were handed over to a healthy cell up to a second longer while any other cell gave no answer (its owner killed, cut or frozen), and tasks that a healthy cell runs as a guest weren't asked about for as long, of the 1.5 s for which it may start any.

Cause: both loops went in rounds, and a round lasted as long as its slowest call, of one second at most.

Each cell has a lane of its own, on which one thing is done at a time; who is told that a lane is free again looks at once if there was more to do meanwhile.

Ruled out elsewhere: the exchanger's rounds and Waiting need all answers; settleReferrals asks one cell after the other, but only so as to forget rows.

It holds at any number of cells: a lane waits for its own cell alone.

--- a/internal/workflow/driver/delegation.go
+++ b/internal/workflow/driver/delegation.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
@@ -41,16 +40,15 @@
 // askGuests asks the cells that run tasks of this one, again and again.
 func (d *Driver) askGuests() {
 	asked := make(map[cottonlanding.CellNumber]*guestCell)
+	lanes := newLanes(&d.work, d.guestsDue)
 	for d.ctx.Err() == nil {
-		var under sync.WaitGroup
 		for to, workflows := range d.delegations() {
 			if asked[to] == nil {
 				asked[to] = &guestCell{driver: d, cell: to}
 			}
 			guest := asked[to]
-			under.Go(func() { guest.ask(workflows) })
+			lanes.run(to, func() { guest.ask(workflows) })
 		}
-		under.Wait()
 		d.await(d.guestsDue, askGuestsEvery)
 		d.sleep(spacing)
 	}
--- a/internal/workflow/driver/handover.go
+++ b/internal/workflow/driver/handover.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/waker"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
@@ -16,7 +17,7 @@
 	// movesAtOnce bounds what is handed over at a time, so that the others' next reports
 	// show it before more follows.
 	movesAtOnce = 12
-	// deliverPause is the pause between two rounds of telling other cells.
+	// deliverPause is how often it is looked for what to tell other cells.
 	deliverPause = 100 * cottonlanding.Millis(1)
 	// deliveriesAtOnce bounds the calls of one cell under way.
 	deliveriesAtOnce = 8
@@ -47,13 +48,13 @@
 
 // deliverAll tells other cells of what was handed over to them, until they have it.
 func (d *Driver) deliverAll() {
+	due := waker.New()
+	lanes := newLanes(&d.work, due)
 	for d.ctx.Err() == nil {
-		var under sync.WaitGroup
 		for to, workflows := range d.handovers() {
-			under.Go(func() { d.deliver(to, workflows) })
+			lanes.run(to, func() { d.deliver(to, workflows) })
 		}
-		under.Wait()
-		d.sleep(deliverPause)
+		d.await(due, deliverPause)
 	}
 }
 
--- a/internal/workflow/driver/owner_test.go
+++ b/internal/workflow/driver/owner_test.go
@@ -51,6 +51,8 @@
 	plainSilence, apart bool
 	// siblings are the partitions of other cells.
 	siblings []cottonlanding.Partition
+	// amend may replace what the owner works with.
+	amend func(*driver.Dependencies)
 }
 
 func newOwner(t *testing.T, s setup) *owner {
@@ -85,7 +87,7 @@
 	}}
 	policy := everyPlacement(s.policy)
 	policy.WatchesPlaces, policy.KeepsTogether = !s.plainSilence, !s.apart
-	o.driver = driver.New(driver.Dependencies{
+	deps := driver.Dependencies{
 		Table:       table,
 		Workers:     client,
 		Clock:       o.clock,
@@ -101,7 +103,11 @@
 		Deliver:     noDelivery,
 		Home:        everyHome,
 		Lost:        func() { t.Error("the ownership was lost") },
-	}, planner.Setup{
+	}
+	if s.amend != nil {
+		s.amend(&deps)
+	}
+	o.driver = driver.New(deps, planner.Setup{
 		Partition: partition,
 		Epoch:     1,
 	}, planner.Timing{Lease: 6000, CutOffGrace: 1000, StopTimeout: 200, Retention: cottonlanding.Minute}, policy)
--- /dev/null
+++ b/internal/workflow/driver/silentcell_test.go
@@ -0,0 +1,115 @@
+package driver_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/driver"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+const (
+	silentCell  cottonlanding.CellNumber = 1
+	healthyCell cottonlanding.CellNumber = 2
+)
+
+// alternating returns the silent cell and the healthy one in turn.
+type alternating struct{ turns int }
+
+func (a *alternating) next() (cottonlanding.CellNumber, bool) {
+	a.turns++
+	return silentCell + cottonlanding.CellNumber(a.turns%2), true
+}
+
+// TestSilentCellDelaysNoHandoverToOthers guards against rounds of deliveries that last as long
+// as the call to a cell which gives no answer: workflows for all other cells waited for it.
+func TestSilentCellDelaysNoHandoverToOthers(t *testing.T) {
+	const workflows = 60
+	synctest.Test(t, func(t *testing.T) {
+		var cells alternating
+		var mu sync.Mutex
+		moved := make(map[cottonlanding.WorkflowID]time.Time)
+		delivered := make(map[cottonlanding.WorkflowID]time.Duration)
+		o := newOwner(t, setup{workers: 1, room: 1, policy: spread(), amend: func(deps *driver.Dependencies) {
+			deps.Move = func(workflow cottonlanding.Workflow, _ planner.Report, _ bool) (cottonlanding.CellNumber, bool) {
+				cell, found := cells.next()
+				mu.Lock()
+				defer mu.Unlock()
+				moved[workflow.ID] = time.Now()
+				return cell, found
+			}
+			deps.Deliver = func(ctx context.Context, workflow cottonlanding.Workflow, to cottonlanding.CellNumber) error {
+				if to == silentCell {
+					<-ctx.Done()
+					return ctx.Err()
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				delivered[workflow.ID] = time.Since(moved[workflow.ID])
+				return nil
+			}
+		}})
+		defer o.driver.Close()
+		o.submit("lasting", cottonlanding.Step{Tasks: 1, Lasting: true})
+		for number := range workflows {
+			o.submit(cottonlanding.WorkflowID(fmt.Sprintf("w%d", number)), cottonlanding.Step{Tasks: 1})
+		}
+		o.eventually("half of the workflows are handed over", func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(delivered) == workflows/2
+		})
+		for id, took := range delivered {
+			require.LessOrEqual(t, took, 500*time.Millisecond, "%s", id)
+		}
+	})
+}
+
+// TestSilentGuestCellDelaysNoQuestionToOthers guards against rounds of questions that last as
+// long as the call to a guest cell which gives no answer: what others ran for this one was
+// learnt of a second late, and they started nothing meanwhile.
+func TestSilentGuestCellDelaysNoQuestionToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var cells alternating
+		var mu sync.Mutex
+		var asked []time.Time
+		count := func() int {
+			mu.Lock()
+			defer mu.Unlock()
+			return len(asked)
+		}
+		silent := make(chan struct{})
+		o := newOwner(t, setup{workers: 1, room: 1, policy: spread(), amend: func(deps *driver.Dependencies) {
+			deps.Delegate = func(planner.Delegable) (cottonlanding.CellNumber, bool) { return cells.next() }
+			deps.AskGuests = func(ctx context.Context, to cottonlanding.CellNumber, _ planner.DelegationQuestion) (planner.DelegationAnswer, error) {
+				if to == silentCell {
+					select {
+					case silent <- struct{}{}:
+					default:
+					}
+					<-ctx.Done()
+					return planner.DelegationAnswer{}, ctx.Err()
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				asked = append(asked, time.Now())
+				return planner.DelegationAnswer{Stamp: planner.DelegationStamp{Epoch: 1}}, nil
+			}
+		}})
+		defer o.driver.Close()
+		o.submit("lasting", cottonlanding.Step{Tasks: 5, Lasting: true})
+		<-silent
+		first := count()
+		o.eventually("the healthy cell is asked", func() bool { return count() >= first+20 })
+		for i := max(first, 1); i < len(asked); i++ {
+			require.LessOrEqual(t, asked[i].Sub(asked[i-1]), 500*time.Millisecond, "between two questions")
+		}
+	})
+}
