Lasting tasks of a full cell go into the holes of full cells, too

Cause: a task was delegated only to a cell that has room for all of its own lasting tasks, with those that wait, and for this one. What waits in a full cell is what its holes are too small for, so that these stay empty, and small tasks of another full cell were kept away from them for good.

Also: of more than a hundred waiting tasks the same hundred were weighed each time, a cell with many short tasks waiting was never drawn, and the reports of all cells were decoded anew for each task that was weighed.

Ruled out: room kept for other tasks (over within four seconds each time).

Change: owners tell of their eight largest holes by service. If no cell has room in sum, a task goes to one with a hole that is large enough; what was delegated is deducted for two seconds.

Why it holds: a hole that is reported is one that nothing waiting in that cell fits, or its owner would have placed it.

--- a/internal/workflow/driver/delegation.go
+++ b/internal/workflow/driver/delegation.go
@@ -25,10 +25,8 @@
 	}
 	if now-d.delegatedAt >= delegateEvery {
 		d.delegatedAt = now
-		for _, task := range d.cell.Delegables(delegablesSeen, d.deps.Home, now) {
-			if to, found := d.deps.Delegate(task); found {
-				d.cell.Delegate(task.Ref, to, now)
-			}
+		for _, delegation := range d.deps.Delegate(d.cell.Delegables(delegablesSeen, d.deps.Home, now)) {
+			d.cell.Delegate(delegation.Ref, delegation.To, now)
 		}
 	}
 	if !d.asksGuests && d.cell.Delegating() {
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -76,8 +76,8 @@
 	Move func(workflow cottonlanding.Workflow, report planner.Report, usable bool) (cottonlanding.CellNumber, bool)
 	// Deliver tells another cell of a workflow that it is to keep.
 	Deliver func(ctx context.Context, workflow cottonlanding.Workflow, to cottonlanding.CellNumber) error
-	// Delegate returns the cell that is to run a task which waits without room here.
-	Delegate func(planner.Delegable) (cottonlanding.CellNumber, bool)
+	// Delegate returns the cells that are to run tasks which wait without room here.
+	Delegate func([]planner.Delegable) []planner.Delegation
 	// AskGuests asks another cell about the tasks that it is to run for this one.
 	AskGuests func(ctx context.Context, to cottonlanding.CellNumber, question planner.DelegationQuestion) (planner.DelegationAnswer, error)
 	// Home reports whether this cell is the home of a workflow.
--- a/internal/workflow/driver/silentcell_test.go
+++ b/internal/workflow/driver/silentcell_test.go
@@ -87,7 +87,13 @@
 		}
 		silent := make(chan struct{})
 		o := newOwner(t, setup{workers: 1, room: 1, policy: spread(), amend: func(deps *driver.Dependencies) {
-			deps.Delegate = func(planner.Delegable) (cottonlanding.CellNumber, bool) { return cells.next() }
+			deps.Delegate = func(tasks []planner.Delegable) (out []planner.Delegation) {
+				for _, task := range tasks {
+					to, _ := cells.next()
+					out = append(out, planner.Delegation{Ref: task.Ref, To: to})
+				}
+				return out
+			}
 			deps.AskGuests = func(ctx context.Context, to cottonlanding.CellNumber, _ planner.DelegationQuestion) (planner.DelegationAnswer, error) {
 				if to == silentCell {
 					select {
--- a/internal/workflow/gateway/delegation.go
+++ b/internal/workflow/gateway/delegation.go
@@ -15,28 +15,56 @@
 // logUnhostedEvery is how often it is logged that no cell has room for a task.
 const logUnhostedEvery = 4 * cottonlanding.Second
 
-// delegate returns the cell that is to run a task for which this cell has no room.
-func (s *seat) delegate(task planner.Delegable) (cottonlanding.CellNumber, bool) {
+// delegate returns the cells that are to run tasks for which this cell has no room.
+func (s *seat) delegate(tasks []planner.Delegable) []planner.Delegation {
 	policy := s.gateway.settings.Policy.Delegation
-	if policy == nil {
-		return 0, false
+	if policy == nil || len(tasks) == 0 {
+		return nil
 	}
-	var candidates []cottonlanding.CellView
+	var out []planner.Delegation
 	others := s.others()
-	for _, other := range others {
-		if other.obstacle(task) == noObstacle {
-			candidates = append(candidates, other.CellView)
+	for _, task := range tasks {
+		candidates := candidatesFor(task, others)
+		if len(candidates) == 0 {
+			s.logUnhosted(task, others)
+			continue
+		}
+		to, found := policy.Delegate(task.Ref, candidates)
+		if !found {
+			continue
 		}
+		at := slices.IndexFunc(others, func(other otherCell) bool { return other.Cell == to })
+		others[at].deduct(task.Service, task.Need.CPU)
+		s.gateway.seat(to).recordDelegated(task, s.gateway.deps.Clock.Now())
+		out = append(out, planner.Delegation{Ref: task.Ref, To: to})
 	}
-	if len(candidates) == 0 {
-		s.logUnhosted(task, others)
-		return 0, false
+	return out
+}
+
+// candidatesFor returns the cells that can run the task: those with room in sum or, if there are none, those of which
+// a worker has a hole that is large enough. What waits in these is too large for it, or would be there by now.
+func candidatesFor(task planner.Delegable, others []otherCell) []cottonlanding.CellView {
+	var inSum, inHoles []cottonlanding.CellView
+	for _, other := range others {
+		view := other.CellView
+		switch {
+		case other.obstacle(task) != noObstacle:
+		case other.hasRoomInSum(task):
+			inSum = append(inSum, view)
+		default:
+			view.Free = float64(other.hole(task.Service)) / float64(other.capacity)
+			inHoles = append(inHoles, view)
+		}
 	}
-	to, found := policy.Delegate(task.Ref, candidates)
-	if found {
-		s.gateway.seat(to).recordDelegated(task.Need.CPU, s.gateway.deps.Clock.Now())
+	if len(inSum) > 0 {
+		return inSum
 	}
-	return to, found
+	return inHoles
+}
+
+// hasRoomInSum reports whether the cell has room beside all that runs and waits there.
+func (o otherCell) hasRoomInSum(task planner.Delegable) bool {
+	return o.Free > 0 && o.holds(task.Need.CPU)
 }
 
 // obstacle is why a cell can't run a task of another one.
@@ -48,8 +76,9 @@
 	unknownRoom obstacle = "Unknown"
 	// returnedLately: the cell has returned the task.
 	returnedLately obstacle = "Returned"
-	// heldByLasting: lasting tasks hold or wait for all of its room.
-	heldByLasting obstacle = "HeldByLasting"
+	// full: what runs and waits there needs all of its room, and none of its workers has a hole that is
+	// large enough.
+	full obstacle = "Full"
 	// noLargeWorker: none of its workers has enough room by itself.
 	noLargeWorker obstacle = "NoWorker"
 )
@@ -61,10 +90,10 @@
 		return unknownRoom
 	case slices.Contains(task.Avoid, o.Cell):
 		return returnedLately
-	case !o.holds(task.Need.CPU):
-		return heldByLasting
 	case !task.Need.Fits(o.largest[task.Service]):
 		return noLargeWorker
+	case !o.hasRoomInSum(task) && o.hole(task.Service) < task.Need.CPU:
+		return full
 	}
 	return noObstacle
 }
@@ -89,10 +118,10 @@
 }
 
 // recordDelegated takes in that a task was delegated to this cell.
-func (s *seat) recordDelegated(cpu cottonlanding.Millicores, now cottonlanding.Millis) {
+func (s *seat) recordDelegated(task planner.Delegable, now cottonlanding.Millis) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.referred = append(s.referred, referredWork{at: now, delegated: cpu})
+	s.referred = append(s.referred, referredWork{at: now, delegated: task.Need.CPU, service: task.Service})
 }
 
 // askGuests asks another cell about the tasks that it is to run for this one.
--- a/internal/workflow/gateway/interrupted_test.go
+++ b/internal/workflow/gateway/interrupted_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
 )
 
 // againWithin is how soon a lasting task must run again where capacity for it exists twice over. Source:
@@ -66,3 +68,29 @@
 		})
 	}
 }
+
+// TestInterruptedTasksFindRoomThatNothingElseFits has lasting tasks wait in each cell that are too large for what its
+// workers have left, and crashes a worker with small ones for good. Seen: no cell with tasks that wait took any from
+// another one, so that what was lost waited for good beside workers with room for it.
+func TestInterruptedTasksFindRoomThatNothingElseFits(t *testing.T) {
+	const (
+		full, nearlyFull = 32, 28
+		lasting          = full + (cells-1)*nearlyFull
+	)
+	d := deployCells(t, cells)
+	d.settled()
+	d.submit(0, lastingAt(0, "fills", full))
+	for cell := 1; cell < cells; cell++ {
+		d.submit(0, lastingAt(cottonlanding.CellNumber(cell), "nearly", nearlyFull))
+	}
+	require.Eventually(t, func() bool { return d.runner.Lasting() == lasting }, 10*time.Second, 10*time.Millisecond)
+	for cell := range cells {
+		large := lastingAt(cottonlanding.CellNumber(cell), "large", 2)
+		large.Steps[0].Resources.CPU = 8000
+		d.submit(0, large)
+	}
+	time.Sleep(3 * time.Second) // all owners tell of what waits
+	require.Equal(t, lasting, d.runner.Lasting(), "nothing large finds room")
+	d.crashOneOf(lasting)
+	require.Eventually(t, func() bool { return d.runner.Lasting() == lasting }, againWithin, 10*time.Millisecond, "the other cells have room for what was lost")
+}
--- a/internal/workflow/gateway/room.go
+++ b/internal/workflow/gateway/room.go
@@ -21,8 +21,9 @@
 	// reserved is those for which the work has room reserved, filling those that its filling
 	// tasks use; lasting is the part of reserved that its lasting tasks hold.
 	reserved, filling, lasting cottonlanding.Millicores
-	// delegated is what a lasting task asks for that was delegated there.
+	// delegated is what a lasting task asks for that was delegated there, on a worker of service.
 	delegated cottonlanding.Millicores
+	service   cottonlanding.ServiceName
 }
 
 // recordReferred takes in that a workflow was referred to this cell.
@@ -72,8 +73,10 @@
 	capacity cottonlanding.Millicores
 	// lasting is the part of it that lasting tasks hold or wait for.
 	lasting float64
-	// largest is what its worker with the most free processors has free, by service.
+	// largest is what its worker with the most free processors has free, holes what single workers have,
+	// both by service.
 	largest map[cottonlanding.ServiceName]cottonlanding.Resources
+	holes   map[cottonlanding.ServiceName][]cottonlanding.Millicores
 }
 
 // less returns a cell without the room of what was referred here and may not be told of
@@ -88,12 +91,39 @@
 	for _, work := range s.referred {
 		cell.Free -= float64(homes) * float64(work.reserved) / float64(cell.capacity)
 		cell.Spare -= float64(homes) * float64(work.filling) / float64(cell.capacity)
-		cell.lasting += (float64(homes)*float64(work.lasting) + float64(work.delegated)) / float64(cell.capacity)
-		cell.Free -= float64(work.delegated) / float64(cell.capacity) // few homes delegate at a time
+		cell.lasting += float64(homes) * float64(work.lasting) / float64(cell.capacity)
+		cell.deduct(work.service, work.delegated) // few homes delegate at a time
 	}
 	return cell
 }
 
+// deduct takes in that a task was delegated to the cell: it goes to the smallest hole that is large enough.
+func (o *otherCell) deduct(service cottonlanding.ServiceName, cpu cottonlanding.Millicores) {
+	if cpu == 0 {
+		return
+	}
+	o.lasting += float64(cpu) / float64(o.capacity)
+	o.Free -= float64(cpu) / float64(o.capacity)
+	best := -1
+	for at, hole := range o.holes[service] {
+		if hole >= cpu && (best < 0 || hole < o.holes[service][best]) {
+			best = at
+		}
+	}
+	if best >= 0 {
+		o.holes[service][best] -= cpu
+	}
+}
+
+// hole returns what the worker with the most free processors has left beside what was delegated to the cell.
+func (o otherCell) hole(service cottonlanding.ServiceName) cottonlanding.Millicores {
+	most := cottonlanding.Millicores(0)
+	for _, hole := range o.holes[service] {
+		most = max(most, hole)
+	}
+	return most
+}
+
 // report returns what the owner tells of its cell with each beat: what is left of it, or
 // nothing while that isn't known.
 func (s *seat) report() []byte {
@@ -116,7 +146,11 @@
 // view returns what is known here of the room of another cell.
 func (s *seat) view(homes int, now cottonlanding.Millis) otherCell {
 	left, usable := s.left()
-	return s.less(otherCell{viewOf(s.cell, left, usable), left.Capacity, left.Lasting, left.Largest}, homes, now)
+	cell := otherCell{viewOf(s.cell, left, usable), left.Capacity, left.Lasting, left.Largest, make(map[cottonlanding.ServiceName][]cottonlanding.Millicores)}
+	for service, holes := range left.Holes {
+		cell.holes[service] = slices.Clone(holes) // what is delegated is deducted
+	}
+	return s.less(cell, homes, now)
 }
 
 // holds reports whether the cell has room for lasting tasks, now or once shorter ones end.
--- a/internal/workflow/planner/delegation.go
+++ b/internal/workflow/planner/delegation.go
@@ -104,6 +104,12 @@
 	Avoid []cottonlanding.CellNumber
 }
 
+// Delegation says which cell is to run a task.
+type Delegation struct {
+	Ref cottonlanding.TaskRef
+	To  cottonlanding.CellNumber
+}
+
 // delegatedTo returns the state of a task that another cell runs.
 func delegatedTo(cell cottonlanding.CellNumber) taskState {
 	return taskState(delegatedPrefix + strconv.Itoa(int(cell)))
@@ -125,26 +131,29 @@
 	t.state = state
 }
 
-// Delegables returns up to a number of lasting tasks that wait without room here. Workflows of
-// which nothing has begun are left out where they can be handed over whole.
+// Delegables returns up to a number of lasting tasks that wait without room here; if there are more, others the
+// next time. Workflows of which nothing has begun are left out where they can be handed over whole.
 func (c *Cell) Delegables(most int, home func(cottonlanding.WorkflowID) bool, now cottonlanding.Millis) []Delegable {
-	var out []Delegable
+	var waiting []*task
 	for _, j := range c.order {
-		if !j.lasts || !j.begun && home(j.ID) {
+		if !j.lasts || !j.begun && home(j.ID) || !c.mayDelegate(j) {
 			continue
 		}
-		var waiting []*task
 		j.eachTask(func(t *task) {
-			if len(out)+len(waiting) < most && t.delegable(now) {
+			if t.delegable(now) {
 				waiting = append(waiting, t)
 			}
 		})
-		if len(waiting) == 0 || !c.mayDelegate(j) {
-			continue
-		}
-		for _, t := range waiting {
-			out = append(out, Delegable{Ref: t.ref, Service: j.queue.Service, Need: t.stage.Reserved(), Avoid: t.avoided(now)})
-		}
+	}
+	if len(waiting) == 0 {
+		return nil
+	}
+	first := c.nextDelegable % len(waiting)
+	c.nextDelegable = first + most
+	var out []Delegable
+	for at := range min(len(waiting), most) {
+		t := waiting[(first+at)%len(waiting)]
+		out = append(out, Delegable{Ref: t.ref, Service: t.job.queue.Service, Need: t.stage.Reserved(), Avoid: t.avoided(now)})
 	}
 	return out
 }
--- a/internal/workflow/planner/delegation_test.go
+++ b/internal/workflow/planner/delegation_test.go
@@ -315,3 +315,22 @@
 	}
 	require.Equal(t, 4, n.runsIn(1), "once the keeper is heard of")
 }
+
+// TestEachWaitingTaskHasItsTurnToLeave guards against tasks that are never weighed for other cells because as many as
+// are weighed at a time wait before them and find room nowhere.
+func TestEachWaitingTaskHasItsTurnToLeave(t *testing.T) {
+	const tasks, room, most = 40, 16, 10
+	n := newNeighbours(t, 1, 2)
+	n.turn(100)
+	n.cells[0].submit("l0", "Bulk", lastingCores(tasks))
+	for range 20 {
+		n.turn(100)
+	}
+	weighed := make(map[cottonlanding.TaskRef]bool)
+	for range 3 {
+		for _, task := range n.cells[0].cell.Delegables(most, func(cottonlanding.WorkflowID) bool { return true }, n.cells[0].now) {
+			weighed[task.Ref] = true
+		}
+	}
+	require.Len(t, weighed, tasks-room)
+}
--- a/internal/workflow/planner/report.go
+++ b/internal/workflow/planner/report.go
@@ -1,11 +1,20 @@
 package planner
 
-import "github.com/cottonlanding/cottonlanding"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+)
 
 // reportEvery is how often what is left of a cell is worked out for others: as often as
 // an owner sends a beat.
 const reportEvery = 300 * cottonlanding.Millis(1)
 
+// holesTold bounds the holes of a service in a report. So many tasks may be delegated to a cell that is full
+// in sum before it tells of its holes anew.
+const holesTold = 8
+
 // Report says how much of its workers a cell has left, as parts of their processors.
 type Report struct {
 	// Free is the part that no run holds, less what waits for room. It is negative when
@@ -22,6 +31,8 @@
 	// Largest is what the worker with the most free processors has free, by service. Owners of older
 	// code don't tell it, so that nothing is delegated to them.
 	Largest map[cottonlanding.ServiceName]cottonlanding.Resources `json:",omitempty"`
+	// Holes is what single workers have free, by service: the largest first, at most holesTold of them.
+	Holes map[cottonlanding.ServiceName][]cottonlanding.Millicores `json:",omitempty"`
 }
 
 // Report returns what is left of the cell, and false for one without usable workers.
@@ -36,6 +47,7 @@
 func (c *Cell) workOutReport(now cottonlanding.Millis) (Report, bool) {
 	var capacity, free, spare, lasting cottonlanding.Millicores
 	largest := make(map[cottonlanding.ServiceName]cottonlanding.Resources)
+	holes := make(map[cottonlanding.ServiceName][]cottonlanding.Millicores)
 	for _, w := range c.sortedWorkers() {
 		if !w.usable(now) {
 			continue
@@ -45,7 +57,11 @@
 		free += max(room.free.CPU, 0)
 		spare += max(room.spare, 0)
 		lasting += w.info.Capacity.CPU - w.passing().CPU
-		if room.free.CPU > largest[w.info.Service].CPU && !w.kept(now) {
+		if w.kept(now) || room.free.CPU <= 0 {
+			continue
+		}
+		holes[w.info.Service] = append(holes[w.info.Service], room.free.CPU)
+		if room.free.CPU > largest[w.info.Service].CPU {
 			largest[w.info.Service] = room.free
 		}
 	}
@@ -76,5 +92,15 @@
 		Lasting:  float64(lasting) / float64(capacity),
 		Capacity: capacity,
 		Largest:  largest,
+		Holes:    largestHoles(holes),
 	}, true
 }
+
+// largestHoles keeps the largest holes of each service.
+func largestHoles(holes map[cottonlanding.ServiceName][]cottonlanding.Millicores) map[cottonlanding.ServiceName][]cottonlanding.Millicores {
+	for service, sizes := range holes {
+		slices.SortFunc(sizes, func(a, b cottonlanding.Millicores) int { return cmp.Compare(b, a) })
+		holes[service] = sizes[:min(len(sizes), holesTold)]
+	}
+	return holes
+}
