Interrupted tasks leave a full cell before those that never ran

Callers would have seen an interrupted lasting task wait while ones that had never run took the holes of other cells, of which there are eight at a time: tasks were weighed in the order of their workflows.

Change: Delegables returns the tasks that had a run first, each of the two kinds in turn.

TestInterruptedTasksLeaveFirst: on the code before, task 28, which never ran, is returned before the eight that did; now these come first.

--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -74,8 +74,8 @@
 	unwritten map[cottonlanding.WorkflowID][]func(error)
 	// away holds the workflows of which other cells may run tasks.
 	away map[cottonlanding.WorkflowID]*job
-	// nextDelegable is where Delegables goes on, so that each waiting task has its turn.
-	nextDelegable int
+	// interruptedTurns and delegableTurns are where Delegables goes on.
+	interruptedTurns, delegableTurns taskTurns
 	// guestNews says that something was committed that guest cells are to be told.
 	guestNews bool
 	// report is what was left of the cell at reportedAt, if it had usable workers.
--- a/internal/workflow/planner/delegation.go
+++ b/internal/workflow/planner/delegation.go
@@ -131,33 +131,47 @@
 	t.state = state
 }
 
-// Delegables returns up to a number of lasting tasks that wait without room here; if there are more, others the
-// next time. Workflows of which nothing has begun are left out where they can be handed over whole.
+// Delegables returns up to a number of lasting tasks that wait without room here, those that had a run first; if there
+// are more, others the next time. Workflows of which nothing has begun are left out where they can be handed over whole.
 func (c *Cell) Delegables(most int, home func(cottonlanding.WorkflowID) bool, now cottonlanding.Millis) []Delegable {
-	var waiting []*task
+	var interrupted, others []*task
 	for _, j := range c.order {
 		if !j.lasts || !j.begun && home(j.ID) || !c.mayDelegate(j) {
 			continue
 		}
 		j.eachTask(func(t *task) {
-			if t.delegable(now) {
-				waiting = append(waiting, t)
+			switch {
+			case !t.delegable(now):
+			case t.number > 0:
+				interrupted = append(interrupted, t)
+			default:
+				others = append(others, t)
 			}
 		})
 	}
-	if len(waiting) == 0 {
-		return nil
-	}
-	first := c.nextDelegable % len(waiting)
-	c.nextDelegable = first + most
+	chosen := c.interruptedTurns.take(interrupted, most)
+	chosen = append(chosen, c.delegableTurns.take(others, most-len(chosen))...)
 	var out []Delegable
-	for at := range min(len(waiting), most) {
-		t := waiting[(first+at)%len(waiting)]
+	for _, t := range chosen {
 		out = append(out, Delegable{Ref: t.ref, Service: t.job.queue.Service, Need: t.stage.Reserved(), Avoid: t.avoided(now)})
 	}
 	return out
 }
 
+// taskTurns goes through tasks some at a time, so that each has its turn.
+type taskTurns struct{ next int }
+
+// take returns up to a number of tasks, beginning after those that it returned last.
+func (r *taskTurns) take(tasks []*task, most int) []*task {
+	count := min(len(tasks), most)
+	if count == 0 {
+		return nil
+	}
+	first := r.next % len(tasks)
+	r.next = first + count
+	return slices.Concat(tasks[first:], tasks[:first])[:count]
+}
+
 // mayDelegate reports whether tasks of the workflow may go to other cells.
 func (c *Cell) mayDelegate(j *job) bool {
 	if _, known := c.queues.Queues[j.Queue]; !known {
--- a/internal/workflow/planner/delegation_test.go
+++ b/internal/workflow/planner/delegation_test.go
@@ -334,3 +334,26 @@
 	}
 	require.Len(t, weighed, tasks-room)
 }
+
+// TestInterruptedTasksLeaveFirst guards against tasks that never ran taking the little room of other cells from those
+// whose worker was lost.
+func TestInterruptedTasksLeaveFirst(t *testing.T) {
+	const tasks, perWorker = 40, 8
+	n := newNeighbours(t, 1, 2)
+	n.turn(100)
+	n.cells[0].submit("l0", "Bulk", lastingCores(tasks))
+	for range 20 {
+		n.turn(100)
+	}
+	n.cells[0].runner.Crash(n.cells[0].workers[0].ID)
+	for range 100 {
+		n.turn(100)
+	}
+	for range 2 {
+		first := n.cells[0].cell.Delegables(perWorker, func(cottonlanding.WorkflowID) bool { return true }, n.cells[0].now)
+		require.Len(t, first, perWorker)
+		for _, task := range first {
+			require.Less(t, task.Ref.Index, 2*perWorker, "it ran")
+		}
+	}
+}
