--- a/internal/workflow/planner/blame_test.go
+++ b/internal/workflow/planner/blame_test.go
@@ -262,6 +262,7 @@
 //
 //	go test ./internal/workflow/planner -run TestBlameIsFair -args -blame.histories 1000
 func TestBlameIsFairAndKept(t *testing.T) {
+	t.Parallel()
 	crashed, culprits, atTwo := 0, 0, 0
 	for at := range *blameHistories {
 		seed := *blameFirst + int64(at)
@@ -285,6 +286,7 @@
 // TestCrashesThatCulpritsCost prints, for each policy, what culprits cost where nothing else
 // fails, and checks that most of them are convicted at their second crash by the default.
 func TestCrashesThatCulpritsCost(t *testing.T) {
+	t.Parallel()
 	for _, policy := range []string{"count", "apart", "fair"} {
 		crashed, culprits, atTwo, innocent := 0, 0, 0, 0
 		for seed := range *blameHistories / 2 {
--- a/internal/workflow/planner/blamedlives_test.go
+++ b/internal/workflow/planner/blamedlives_test.go
@@ -183,6 +183,7 @@
 //
 //	go test ./internal/workflow/planner -run TestBlameIsKeptAcrossLives -args -blame.histories 1000
 func TestBlameIsKeptAcrossLives(t *testing.T) {
+	t.Parallel()
 	givenUp, submitted := 0, 0
 	for at := range *blameHistories {
 		seed := *blameFirst + int64(at)
--- a/internal/workflow/planner/blamesmall_test.go
+++ b/internal/workflow/planner/blamesmall_test.go
@@ -48,6 +48,7 @@
 // TestBlameIsKeptInASmallCell is TestBlameIsKeptAcrossLives with few workers, which say at any time that
 // they leave. There a task that is started anew meets the same worker, so that nothing tells it from a culprit.
 func TestBlameIsKeptInASmallCell(t *testing.T) {
+	t.Parallel()
 	givenUp, submitted := 0, 0
 	for at := range *blameHistories {
 		seed := *blameFirst + int64(at)
--- a/internal/workflow/planner/blametroubles_test.go
+++ b/internal/workflow/planner/blametroubles_test.go
@@ -116,6 +116,7 @@
 //
 //	go test ./internal/workflow/planner -run TestNoWorkflowIsGivenUp -args -blame.histories 1000
 func TestNoWorkflowIsGivenUpWithoutCause(t *testing.T) {
+	t.Parallel()
 	submitted := 0
 	for at := range *blameHistories {
 		seed := *blameFirst + int64(at)
@@ -136,6 +137,7 @@
 //
 //	go test ./internal/workflow/planner -run TestCulpritsAreBounded -args -blame.histories 1000
 func TestCulpritsAreBoundedAmongTroubles(t *testing.T) {
+	t.Parallel()
 	crashed, culprits, atTwo, innocent, submitted := 0, 0, 0, 0, 0
 	for at := range *blameHistories {
 		seed := *blameFirst + int64(at)
--- a/internal/workflow/planner/delegation_test.go
+++ b/internal/workflow/planner/delegation_test.go
@@ -18,6 +18,7 @@
 // workflow was cancelled, each runs again in time once all goes well, and of a cancelled workflow
 // nothing is left in any cell.
 func TestDelegatedTasksRunOnceAndAreNotLost(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		const mostTasks = 30 // of the 48 for which there is room while all workers are up
 		n := newNeighbours(t, 3, 2)
--- a/internal/workflow/planner/rowsize_test.go
+++ b/internal/workflow/planner/rowsize_test.go
@@ -70,6 +70,7 @@
 // TestTasksOnWorkersWithLongIDsAreRun: tasks that the row can't hold all at once with the ids of their workers are
 // run one after the other, each once, however long the ids are, alone or beside many rounds.
 func TestTasksOnWorkersWithLongIDsAreRun(t *testing.T) {
+	t.Parallel()
 	for name, id := range map[string]cottonlanding.WorkerID{
 		"60 bytes":     longID("i", 60),
 		"200 bytes":    longID("i", 200),
