--- a/internal/workflow/driver/calls.go
+++ b/internal/workflow/driver/calls.go
@@ -118,6 +118,14 @@
 	return nil
 }
 
+// query returns what the cell answers, or nothing while it isn't owned.
+func query[T any](d *Driver, ask func(*planner.Cell, cottonlanding.Millis) T) (answer T) {
+	if err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { answer = ask(cell, now) }); err != nil {
+		return answer // the zero value
+	}
+	return answer
+}
+
 // State returns the committed state of a workflow, a ReferredError, or ErrNotFound.
 func (d *Driver) State(id cottonlanding.WorkflowID) (cottonlanding.WorkflowState, error) {
 	var state cottonlanding.WorkflowState
@@ -158,11 +166,9 @@
 // OldReferrals returns up to a number of workflows that were referred long ago, with the
 // cells that keep them.
 func (d *Driver) OldReferrals(most int) map[cottonlanding.WorkflowID]cottonlanding.CellNumber {
-	var out map[cottonlanding.WorkflowID]cottonlanding.CellNumber
-	if err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { out = cell.OldReferrals(most, now) }); err != nil {
-		return nil // it isn't owned at present
-	}
-	return out
+	return query(d, func(cell *planner.Cell, now cottonlanding.Millis) map[cottonlanding.WorkflowID]cottonlanding.CellNumber {
+		return cell.OldReferrals(most, now)
+	})
 }
 
 // SettleReferral takes in whether the cell that keeps a referred workflow still knows it.
--- a/internal/workflow/driver/delegation.go
+++ b/internal/workflow/driver/delegation.go
@@ -53,11 +53,9 @@
 }
 
 func (d *Driver) delegations() map[cottonlanding.CellNumber][]planner.DelegatedWorkflow {
-	var out map[cottonlanding.CellNumber][]planner.DelegatedWorkflow
-	if err := d.with(func(cell *planner.Cell, _ cottonlanding.Millis) { out = cell.Delegations() }); err != nil {
-		return nil // it isn't owned at present
-	}
-	return out
+	return query(d, func(cell *planner.Cell, _ cottonlanding.Millis) map[cottonlanding.CellNumber][]planner.DelegatedWorkflow {
+		return cell.Delegations()
+	})
 }
 
 // guestCell is another cell that runs tasks of this one.
@@ -120,11 +118,9 @@
 // ForgottenGuests returns up to a number of guests about which nothing was asked for long, with the cells
 // that keep their workflows.
 func (d *Driver) ForgottenGuests(most int) map[cottonlanding.WorkflowID]cottonlanding.CellNumber {
-	var out map[cottonlanding.WorkflowID]cottonlanding.CellNumber
-	if err := d.with(func(cell *planner.Cell, now cottonlanding.Millis) { out = cell.ForgottenGuests(most, now) }); err != nil {
-		return nil // it isn't owned at present
-	}
-	return out
+	return query(d, func(cell *planner.Cell, now cottonlanding.Millis) map[cottonlanding.WorkflowID]cottonlanding.CellNumber {
+		return cell.ForgottenGuests(most, now)
+	})
 }
 
 // SettleGuest takes in whether the workflow of a guest goes on.
--- a/internal/workflow/driver/handover.go
+++ b/internal/workflow/driver/handover.go
@@ -59,11 +59,9 @@
 }
 
 func (d *Driver) handovers() map[cottonlanding.CellNumber][]cottonlanding.Workflow {
-	var out map[cottonlanding.CellNumber][]cottonlanding.Workflow
-	if err := d.with(func(cell *planner.Cell, _ cottonlanding.Millis) { out = cell.Handovers() }); err != nil {
-		return nil // it isn't owned at present
-	}
-	return out
+	return query(d, func(cell *planner.Cell, _ cottonlanding.Millis) map[cottonlanding.CellNumber][]cottonlanding.Workflow {
+		return cell.Handovers()
+	})
 }
 
 // deliver tells one cell, some workflows at a time.
