Waits go through the pauser

The committer's sleep, the pauses of insist, giveUp and awaitSettled, the driver's keepPlace and its pause before a release were timers in a select of their own, beside pauser.Pause and Wait, which do the same.

--- a/internal/coordination/committer/committer.go
+++ b/internal/coordination/committer/committer.go
@@ -14,12 +14,12 @@
 	"errors"
 	"fmt"
 	"sync/atomic"
-	"time"
 
 	"github.com/google/uuid"
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/duty/buffer"
+	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
 )
 
 // Defaults of the options.
@@ -383,12 +383,6 @@
 
 // sleep waits and reports whether the committer goes on.
 func (c *Committer) sleep(span cottonlanding.Millis) bool {
-	timer := time.NewTimer(span.Duration())
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-c.ctx.Done():
-		return false
-	}
+	pauser.Pause(c.ctx, span)
+	return c.ctx.Err() == nil
 }
--- a/internal/coordination/holder/takeover.go
+++ b/internal/coordination/holder/takeover.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
 )
 
 // similarShare is how many times larger another share may be to count as similar.
@@ -41,10 +42,9 @@
 		if err == nil || errors.Is(err, cottonlanding.ErrConflict) {
 			return nil // it is released, or another has it already
 		}
-		select {
-		case <-ctx.Done():
+		pauser.Pause(ctx, releasePause)
+		if ctx.Err() != nil {
 			return fmt.Errorf("release cell %s: %w", h.cell, err)
-		case <-time.After(releasePause.Duration()):
 		}
 	}
 }
--- a/internal/placement/owner/ownership.go
+++ b/internal/placement/owner/ownership.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -15,6 +14,7 @@
 	"github.com/cottonlanding/cottonlanding/internal/coordination/observer"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/registrar"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/seizer"
+	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
 	"github.com/cottonlanding/cottonlanding/internal/placement/scheduler"
 )
 
@@ -177,10 +177,9 @@
 		if !unanswered(err) {
 			return rows, err
 		}
-		select {
-		case <-ctx.Done():
+		pauser.Pause(ctx, readPause)
+		if ctx.Err() != nil {
 			return nil, err
-		case <-time.After(readPause.Duration()):
 		}
 	}
 }
--- a/internal/request/claimer/claimer.go
+++ b/internal/request/claimer/claimer.go
@@ -13,10 +13,10 @@
 	"fmt"
 	"net/url"
 	"sync"
-	"time"
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/coordination/committer"
+	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
 	"github.com/cottonlanding/cottonlanding/internal/duty/repeater"
 )
 
@@ -168,9 +168,8 @@
 		if !errors.Is(err, errRunning) || c.clock.Now()+pause > until {
 			return record, err
 		}
-		select {
-		case <-time.After(pause.Duration()):
-		case <-ctx.Done():
+		pauser.Pause(ctx, pause)
+		if ctx.Err() != nil {
 			return record, err
 		}
 	}
--- a/internal/workflow/driver/attendant.go
+++ b/internal/workflow/driver/attendant.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/duty/pauser"
@@ -103,7 +102,8 @@
 	return until > 0 && now < until+d.timing.CutOffGrace
 }
 
-func (d *Driver) await(woken waker.Waker, span cottonlanding.Millis) {
+// await waits for a span, for a call to wake or for the end of the driver.
+func (d *Driver) await(woken <-chan struct{}, span cottonlanding.Millis) {
 	pauser.Wait(d.ctx, span, woken)
 }
 
@@ -120,13 +120,7 @@
 // while others are answered sooner than that: its worker is silent then.
 func (d *Driver) keepPlace(ended chan struct{}) {
 	defer func() { <-d.promptLooks }()
-	timer := time.NewTimer(promptHold.Duration())
-	defer timer.Stop()
-	select {
-	case <-ended:
-		return
-	case <-timer.C:
-	}
+	pauser.Wait(context.Background(), promptHold, ended)
 	if d.promptTook.Load() >= int64(promptHold) {
 		<-ended
 	}
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -248,7 +248,7 @@
 		if !goOn {
 			return
 		}
-		d.pause(pauseAfter(took))
+		d.await(d.stopping, pauseAfter(took))
 		select {
 		case <-d.ctx.Done():
 			return
@@ -367,9 +367,4 @@
 	d.deps.Log.Info("commits go on")
 }
 
-// pause is sleep, but for a driver that is being released.
-func (d *Driver) pause(span cottonlanding.Millis) {
-	pauser.Wait(d.ctx, span, d.stopping)
-}
-
 func (d *Driver) sleep(span cottonlanding.Millis) { pauser.Pause(d.ctx, span) }
