Changes of owner don't begin the wait for a lost worker's leases anew

Cause: a new owner knows only that the one before may have renewed all leases until its own end (1.2 s, 4 s with a slow table, and 2 s of grace), and waits for a whole lease of 6.2 s from there, also for workers that had been silent for long. The next owner begins that wait again.

Ruled out: to count an owner whose process was seen to end as gone at once. A host that is alive may refuse connections, and nothing may rest on that.

Change: an owner writes down until when the leases of silent workers last, by the table's clock, which all processes read with each answer. The next owner goes by that. While a bound stands, its worker is granted no lease and no start; an owner that hears from the worker takes the bound off first, with the plan that is due anyway. Bounds of any but the very owner before are not used: an owner of older code grants leases beside them.

Without the gate, TestNoLeaseBeyondAWrittenBound is red (a task runs twice); without the check of the epoch, TestBoundsOfOlderOwnersAreNotUsed is.

Why it holds: a worker that is silent is granted nothing, so that its bound doesn't move; it can move only once the bound is off, which is committed first, behind the fence of the owner.

What it doesn't cover: an owner that dies within 1 s after the first look at the worker failed has written nothing. Its successor waits for up to 9.4 s from the last beat, 12.2 s with a slow table.

--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -54,11 +54,13 @@
 // Dependencies are what a driver works with.
 type Dependencies struct {
 	// Cell is the one that is driven.
-	Cell    cottonlanding.CellNumber
-	Table   cottonlanding.Table
-	Workers cottonlanding.RunClient
-	Clock   cottonlanding.Clock
-	Log     *slog.Logger
+	Cell  cottonlanding.CellNumber
+	Table cottonlanding.Table
+	// TableClock returns a reading of the table's clock, and false while there is none. It may be nil.
+	TableClock func() (cottonlanding.TableReading, bool)
+	Workers    cottonlanding.RunClient
+	Clock      cottonlanding.Clock
+	Log        *slog.Logger
 	// ListWorkers returns the workers, and false before they are known.
 	ListWorkers func() ([]cottonlanding.WorkerInfo, bool)
 	// ListedAt returns as of when the list is complete.
@@ -278,6 +280,7 @@
 	now := took.began
 	d.mu.Lock()
 	d.refresh(now)
+	d.readTableClock(d.cell)
 	d.cell.Decide(now, time.Now().UnixMilli())
 	d.handOver(now)
 	d.delegate(now)
--- a/internal/workflow/driver/load.go
+++ b/internal/workflow/driver/load.go
@@ -59,13 +59,19 @@
 			d.deps.Log.Warn("what was learnt of images is lost", "Error", err) // it is learnt anew
 		}
 	}
+	d.readTableClock(cell)
+	for _, row := range rows.bounds {
+		if err := cell.LoadLeaseBounds(row, now); err != nil {
+			d.deps.Log.Warn("lease bounds are lost", "Error", err)
+		}
+	}
 	d.deps.Log.Info("workflows loaded", "Workflows", len(rows.specs), "Workers", len(workers), "Epoch", d.setup.Epoch, "After", now-began)
 	return cell, nil
 }
 
 // cellRows are the rows of a cell by kind.
 type cellRows struct {
-	specs, states, guests, referrals, learnt []cottonlanding.Row
+	specs, states, guests, referrals, learnt, bounds []cottonlanding.Row
 }
 
 // readCell reads all rows of the cell. The kinds are read side by side: nothing of the cell changes any more, and a
@@ -89,6 +95,10 @@
 		rows.learnt, err = d.read(planner.LearntKey(at))
 		return err
 	})
+	reads.Go(func() (err error) {
+		rows.bounds, err = d.read(planner.LeaseBoundsKey(at))
+		return err
+	})
 	return rows, reads.Wait()
 }
 
@@ -116,3 +126,13 @@
 		after = rows[len(rows)-1].Key
 	}
 }
+
+// readTableClock tells a cell what the table's clock shows.
+func (d *Driver) readTableClock(cell *planner.Cell) {
+	if d.deps.TableClock == nil {
+		return
+	}
+	if reading, known := d.deps.TableClock(); known {
+		cell.SetTableClock(reading)
+	}
+}
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -69,6 +69,8 @@
 // Dependencies are what a gateway works with.
 type Dependencies struct {
 	Table cottonlanding.Table
+	// TableClock returns a reading of the table's clock, and false while there is none. It may be nil.
+	TableClock func() (cottonlanding.TableReading, bool)
 	// Watched tells of the table's watched rows.
 	Watched cottonlanding.Feed
 	Workers cottonlanding.RunClient
--- a/internal/workflow/gateway/seat.go
+++ b/internal/workflow/gateway/seat.go
@@ -106,6 +106,7 @@
 	s.driver = driver.New(driver.Dependencies{
 		Cell:        s.cell,
 		Table:       s.gateway.deps.Table,
+		TableClock:  s.gateway.deps.TableClock,
 		Workers:     s.gateway.deps.Workers,
 		Clock:       s.gateway.deps.Clock,
 		Log:         s.gateway.deps.Log.With("Cell", s.cell),
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -103,6 +103,8 @@
 	listRead bool
 	// open holds the lives that tasks have left open, by worker.
 	open map[cottonlanding.WorkerID]*openLives
+	// bounds are the lease bounds of silent workers that are written down.
+	bounds leaseBounds
 	// due is what is due to lasting tasks that have run, as of the last decision.
 	due dues
 	// superseded says that a worker has seen a newer owner.
--- /dev/null
+++ b/internal/workflow/planner/leasebounds.go
@@ -0,0 +1,166 @@
+package planner
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// A worker that falls silent is granted nothing more, so that its owner knows until when its leases
+// last. The next owner knows only that the one before may have renewed them until its own end, and
+// would wait for a whole lease from there: each change of owner would begin the wait of the tasks
+// anew that were lost with the worker. So an owner writes the bounds of silent workers down, by the
+// table's clock.
+//
+// While a bound stands, the worker is granted no lease: an owner that hears from the worker first
+// takes the bound off. Owners of older code don't know of the row, so that only what the very owner
+// before has written is used: each owner writes what it goes on to hold anew.
+
+const (
+	// boundAfter is how long a worker is silent before its bound is written: a look that fails once
+	// costs no writes, and holds up no renewal.
+	boundAfter = cottonlanding.Second
+	// mostBounds is how many bounds are written at most. Later owners wait for the others' whole leases.
+	mostBounds = 400
+	// mostBoundBytes bounds the row.
+	mostBoundBytes = 32 * 1024
+	// boundBytes is what a bound takes besides the worker's id.
+	boundBytes = 24
+)
+
+// boundsRow is the value of the row of lease bounds.
+type boundsRow struct {
+	// Epoch is that of the owner which wrote it.
+	Epoch cottonlanding.Epoch
+	// Written is what the table's clock showed at least.
+	Written cottonlanding.TableInstant
+	Until   map[cottonlanding.WorkerID]cottonlanding.TableInstant
+}
+
+// leaseBounds are the bounds that are written.
+type leaseBounds struct {
+	// clock is the newest reading of the table's clock, nil while there is none.
+	clock *cottonlanding.TableReading
+	// kept is what the row holds, planned what it will hold once the plan under way is committed, nil if
+	// that leaves it as it is.
+	kept, planned map[cottonlanding.WorkerID]cottonlanding.TableInstant
+	// version is that of the row, epoch that of the owner which wrote it.
+	version cottonlanding.Version
+	epoch   cottonlanding.Epoch
+	// unread says that what the row holds isn't known here, so that it may be any worker's bound.
+	unread bool
+}
+
+// LeaseBoundsKey names the row that holds the lease bounds of a cell.
+func LeaseBoundsKey(p cottonlanding.Partition) cottonlanding.Key { return p.Key("LeaseBounds") }
+
+// SetTableClock takes in the newest reading of the table's clock. Without any, no bounds are written or read.
+func (c *Cell) SetTableClock(reading cottonlanding.TableReading) { c.bounds.clock = &reading }
+
+// LoadLeaseBounds takes in the bounds that an owner before has written. It comes after all other rows. A row that
+// can't be read or used is written anew before any lease is granted.
+func (c *Cell) LoadLeaseBounds(row cottonlanding.Row, now cottonlanding.Millis) error {
+	var written boundsRow
+	c.bounds.version = row.Version
+	if err := json.Unmarshal(row.Value, &written); err != nil {
+		c.bounds.unread = true
+		return fmt.Errorf("row %s: %w", row.Key, err)
+	}
+	if !c.boundsHold(written, now) {
+		c.bounds.unread = len(written.Until) > 0
+		c.log.Info("lease bounds not used", "Workers", len(written.Until), "Of", written.Epoch, "Epoch", c.setup.Epoch, "ClockKnown", c.bounds.clock != nil)
+		return nil
+	}
+	c.bounds.kept, c.bounds.epoch = written.Until, written.Epoch
+	for _, w := range c.sortedWorkers() {
+		c.inheritBound(w, now)
+	}
+	return nil
+}
+
+// boundsHold reports whether bounds can be used: they are of the owner just before, and the table's clock has gone
+// on since.
+func (c *Cell) boundsHold(written boundsRow, now cottonlanding.Millis) bool {
+	return c.bounds.clock != nil && written.Epoch+1 == c.setup.Epoch && c.bounds.clock.Latest(now) >= written.Written
+}
+
+// inheritBound takes over the bound that is written of a worker.
+func (c *Cell) inheritBound(w *worker, now cottonlanding.Millis) {
+	shown, found := c.bounds.kept[w.info.ID]
+	if !found {
+		return
+	}
+	before := w.bound
+	w.bound = min(before, max(now, c.bounds.clock.Until(shown)))
+	c.log.Info("lease bound taken over", "Worker", w.info.ID, "Runs", w.runs.size(), "Left", w.bound-now, "Instead", before-now)
+}
+
+// has reports whether a bound of the worker is written, or perhaps.
+func (b *leaseBounds) has(id cottonlanding.WorkerID) bool {
+	_, kept := b.kept[id]
+	_, planned := b.planned[id]
+	return b.unread || kept || planned
+}
+
+// silentForLong reports whether the worker has given this owner no answer for so long that its bound is
+// written. One that is neither listed nor ever answered is not even asked.
+func (w *worker) silentForLong(now cottonlanding.Millis) bool {
+	if !w.listed && w.answered == 0 {
+		return true
+	}
+	return w.failed && now-w.failedSince >= boundAfter
+}
+
+// boundsWanted returns the bounds that should be written.
+func (c *Cell) boundsWanted(now cottonlanding.Millis) map[cottonlanding.WorkerID]cottonlanding.TableInstant {
+	out := make(map[cottonlanding.WorkerID]cottonlanding.TableInstant)
+	if c.bounds.clock == nil {
+		return out
+	}
+	size := 0
+	for _, w := range c.sortedWorkers() {
+		id := w.info.ID
+		if w.runs.size() == 0 || !w.silentForLong(now) {
+			continue
+		}
+		size += len(id) + boundBytes
+		if len(out) >= mostBounds || size > mostBoundBytes {
+			return out
+		}
+		if shown, kept := c.bounds.kept[id]; kept && c.bounds.clock.Until(shown) >= w.bound {
+			out[id] = shown
+			continue
+		}
+		out[id] = c.bounds.clock.Latest(w.bound)
+	}
+	return out
+}
+
+// boundsDue returns the bounds to write, and whether they differ from what is written.
+func (c *Cell) boundsDue(now cottonlanding.Millis) (map[cottonlanding.WorkerID]cottonlanding.TableInstant, bool) {
+	wanted := c.boundsWanted(now)
+	isAnothers := len(c.bounds.kept) > 0 && c.bounds.epoch != c.setup.Epoch
+	return wanted, c.bounds.unread || isAnothers || !maps.Equal(wanted, c.bounds.kept)
+}
+
+// planBounds adds the lease bounds to a plan if they have changed.
+func (c *Cell) planBounds(plan *Plan, now cottonlanding.Millis) {
+	wanted, due := c.boundsDue(now)
+	if !due {
+		return
+	}
+	c.bounds.planned, plan.bounds = wanted, true
+	row := boundsRow{Epoch: c.setup.Epoch, Until: wanted}
+	if c.bounds.clock != nil {
+		row.Written = c.bounds.clock.Shown
+	}
+	plan.add(cottonlanding.Write{Key: LeaseBoundsKey(c.setup.Partition), Expect: c.bounds.version, Value: encode(row), Unchecked: true})
+	c.log.Info("lease bounds written", "Workers", len(wanted), "Before", len(c.bounds.kept))
+}
+
+// recordBounds takes in that the planned bounds are written.
+func (c *Cell) recordBounds(version cottonlanding.Version) {
+	c.bounds = leaseBounds{clock: c.bounds.clock, kept: c.bounds.planned, version: version, epoch: c.setup.Epoch}
+}
--- /dev/null
+++ b/internal/workflow/planner/leasebounds_test.go
@@ -0,0 +1,162 @@
+package planner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// ownerSeenGone is how long after its last beat an owner surely renews nothing any more: its time to live
+// and the grace of one that has lost the table.
+const ownerSeenGone = 3200 * cottonlanding.Millis(1)
+
+// lose crashes a worker for good. Its entry goes some seconds later.
+func (w *world) lose(id cottonlanding.WorkerID) { w.runner.Crash(id) }
+
+// delist takes a worker off the list.
+func (w *world) delist(id cottonlanding.WorkerID) {
+	w.workers = slices.DeleteFunc(slices.Clone(w.workers), func(info cottonlanding.WorkerInfo) bool { return info.ID == id })
+	w.cell.SetWorkers(slices.Clone(w.workers), w.now)
+}
+
+// playLost plays a worker that is lost for good under four lasting tasks, with owners that change some times at a
+// distance, and returns how long after the loss all run again.
+func playLost(t require.TestingT, first, every cottonlanding.Millis, changes int) cottonlanding.Millis {
+	const step, unlisted = 50 * cottonlanding.Millis(1), 4500 * cottonlanding.Millis(1)
+	w := newSpreadWorld(t)
+	w.play(cottonlanding.Second)
+	w.submit("lasts", "Urgent", cottonlanding.Step{Tasks: 4, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}})
+	w.play(4 * cottonlanding.Second)
+	require.Equal(t, 4, w.runner.Lasting())
+	w.lose("w1")
+	lost, next := w.now, w.now+first
+	for w.runner.Lasting() < 4 && w.now < lost+cottonlanding.Minute {
+		if w.now >= next && changes > 0 {
+			changes--
+			next += every
+			w.takeOverFrom(w.now + ownerSeenGone)
+		}
+		if w.now-lost == unlisted {
+			w.delist("w1")
+		}
+		w.turn(step)
+		require.Empty(t, w.runner.Violations())
+	}
+	return w.now - lost
+}
+
+// TestChangesOfOwnerDontBeginWaitsAnew: each change of owner began the wait anew for the leases of a worker that is lost, so that its
+// lasting tasks stayed down for as long as owners changed.
+func TestChangesOfOwnerDontBeginWaitsAnew(t *testing.T) {
+	for _, first := range []cottonlanding.Millis{2500, 3000, 4000, 5000} {
+		for _, every := range []cottonlanding.Millis{2000, 3000, 5000, 7000} {
+			t.Run(fmt.Sprintf("first %s, then every %s", first, every), func(t *testing.T) {
+				require.LessOrEqual(t, playLost(t, first, every, 3), runsAgainWithin)
+			})
+		}
+	}
+}
+
+// playSilentTable lets a while pass in which nothing is committed.
+func (w *world) playSilentTable(span cottonlanding.Millis) {
+	for end := w.now + span; w.now < end; {
+		w.now += turnSpan
+		w.begin()
+		w.orders(func() string { return "" })
+		w.lookAll()
+	}
+}
+
+// TestNoLeaseBeyondAWrittenBound: a worker is back while its bound can't be taken off, and silent again when the owner changes. A lease that
+// was granted meanwhile would let its runs go on beside those that the next owner starts.
+func TestNoLeaseBeyondAWrittenBound(t *testing.T) {
+	for back := cottonlanding.Second; back < 5*cottonlanding.Second; back += 500 {
+		w := newSpreadWorld(t)
+		w.play(cottonlanding.Second)
+		w.submit("lasts", "Urgent", cottonlanding.Step{Tasks: 4, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}})
+		w.play(2 * cottonlanding.Second)
+		w.runner.Dark("w1", true)
+		w.play(2 * cottonlanding.Second)
+		w.runner.Dark("w1", false)
+		w.playSilentTable(back)
+		w.runner.Dark("w1", true)
+		w.takeOverFrom(w.now + ownerSeenGone)
+		for range 200 {
+			w.turn(turnSpan)
+			require.Empty(t, w.runner.Violations(), "back for %s", back)
+		}
+	}
+}
+
+// TestWrittenBoundsHold: a worker that is silent and back, behind any number of owners, runs no task that was given up while its
+// lease still lasted.
+func TestWrittenBoundsHold(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSpreadWorld(t)
+		w.play(cottonlanding.Second)
+		w.submit("lasts", "Urgent", cottonlanding.Step{Tasks: 6, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}})
+		w.play(2 * cottonlanding.Second)
+		for range rapid.IntRange(1, 12).Draw(t, "Events") {
+			id := w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(t, "Worker")].ID
+			switch rapid.IntRange(0, 6).Draw(t, "Event") {
+			case 0, 1:
+				w.runner.Dark(id, true)
+			case 2:
+				w.runner.Dark(id, false)
+			case 3:
+				w.takeOverFrom(w.now + ownerSeenGone)
+			case 4:
+				w.commit()
+				w.takeOverFrom(w.now + ownerSeenGone)
+			case 5:
+				w.playSilentTable(cottonlanding.Millis(rapid.IntRange(100, 5000).Draw(t, "Silent")))
+			case 6:
+				if w.begin(); w.plan != nil { // its answer is lost
+					w.apply()
+					w.takeOverFrom(w.now + ownerSeenGone)
+				}
+			}
+			for range rapid.IntRange(1, 60).Draw(t, "Turns") {
+				w.turn(100)
+				require.Empty(t, w.runner.Violations())
+			}
+		}
+		for _, info := range w.workers {
+			w.runner.Dark(info.ID, false)
+		}
+		w.play(20 * cottonlanding.Second)
+		require.Empty(t, w.runner.Violations())
+		require.Equal(t, 6, w.runner.Lasting())
+	})
+}
+
+// TestBoundsOfOlderOwnersAreNotUsed: an owner of older code grants leases beside bounds that it doesn't know of. What the
+// owner before that one has written says nothing of them.
+func TestBoundsOfOlderOwnersAreNotUsed(t *testing.T) {
+	w := newSpreadWorld(t)
+	w.play(cottonlanding.Second)
+	w.submit("lasts", "Urgent", cottonlanding.Step{Tasks: 4, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}})
+	w.play(2 * cottonlanding.Second)
+	w.runner.Dark("w1", true)
+	w.play(2 * cottonlanding.Second)
+	key := planner.LeaseBoundsKey(partition)
+	written := w.rows[key]
+	require.Contains(t, string(written.Value), "w1")
+	w.runner.Dark("w1", false)
+	w.play(5 * cottonlanding.Second) // leases are renewed
+	written.Version = w.rows[key].Version
+	w.rows[key] = written // as if the owner in between had left the row alone
+	w.epoch++
+	w.runner.Dark("w1", true)
+	w.takeOverFrom(w.now + ownerSeenGone)
+	for range 200 {
+		w.turn(turnSpan)
+		require.Empty(t, w.runner.Violations())
+	}
+}
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -8,9 +8,9 @@
 
 // leaseUntil returns the end of a lease granted now, on the worker's clock, and
 // notes how long it can last. A worker that does not answer is granted nothing
-// beyond what it has, or its runs could never be given up.
+// beyond what it has, or its runs could never be given up; nor is one whose bound is written.
 func (c *Cell) leaseUntil(w *worker, now cottonlanding.Millis) cottonlanding.Reading {
-	if !w.reachable(now) {
+	if !w.reachable(now) || c.bounds.has(w.info.ID) {
 		return w.granted
 	}
 	span := now - w.readAt + c.timing.Lease
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -138,7 +138,7 @@
 		return order, c.stopDue(w, r, now)
 	case r.ordered || now < r.nextTry || w.reading == 0:
 		return Order{}, false
-	case r.phase < started && (c.startsHeld || w.cordoned() || !w.reachable(now) || !r.task.job.mayStart(now)):
+	case r.phase < started && (c.startsHeld || c.bounds.has(w.info.ID) || w.cordoned() || !w.reachable(now) || !r.task.job.mayStart(now)):
 		// A lease that has passed by this life's clock may be valid by the next one's.
 		return Order{}, false
 	case r.phase == sent && w.answered <= r.sentAt && r.unseenCopies >= mostUnseenCopies:
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -14,7 +14,7 @@
 	specPrefix  = "Specs/"
 	statePrefix = "States/"
 	// writesPerPlan bounds the rows of one transaction, below the table's 100 entries:
-	// the guard, the lane and what was learnt of images take five.
+	// the guard, the lane, what was learnt of images and the lease bounds take six.
 	writesPerPlan = 90
 	// bytesPerPlan is how long the values of a plan get before nothing large is added: in
 	// base64, with another job and what was learnt, they stay below the table's 1 MB.
@@ -130,6 +130,8 @@
 	referred []cottonlanding.WorkflowID
 	// learnt says that the row of what was learnt of images is among the writes.
 	learnt bool
+	// bounds says that the row of lease bounds is among the writes.
+	bounds bool
 	// size is the length of all values.
 	size int
 }
@@ -156,7 +158,7 @@
 	if c.inFlight != nil {
 		return nil
 	}
-	if len(c.dirty) == 0 && len(c.unwritten) == 0 && !c.learntDue(now) {
+	if _, due := c.boundsDue(now); !due && len(c.dirty) == 0 && len(c.unwritten) == 0 && !c.learntDue(now) {
 		c.recordSeen(c.notedEnds())
 		return nil
 	}
@@ -176,6 +178,7 @@
 		plan.seen = c.notedEnds()
 	}
 	c.planLearnt(plan, now)
+	c.planBounds(plan, now)
 	c.inFlight = plan
 	return plan
 }
@@ -311,6 +314,9 @@
 	if plan.learnt {
 		c.learntVersion = version
 	}
+	if plan.bounds {
+		c.recordBounds(version)
+	}
 	c.recordSeen(plan.seen)
 	answer(plan.replies, nil)
 }
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -156,6 +156,16 @@
 	w.cell.SetWorkers(slices.Clone(w.workers), w.now)
 	require.NoError(w.t, w.cell.Load(w.scan(planner.SpecKey(partition, "")), w.scan(planner.StateKey(partition, "")), w.now))
 	require.NoError(w.t, w.cell.LoadGuests(w.scan(planner.GuestsKey(partition)), w.now))
+	w.cell.SetTableClock(w.tableClock())
+	if row, found := w.rows[planner.LeaseBoundsKey(partition)]; found {
+		require.NoError(w.t, w.cell.LoadLeaseBounds(row, w.now))
+	}
+}
+
+// tableClock reads the table's clock, which has another beginning.
+func (w *world) tableClock() cottonlanding.TableReading {
+	const ahead, callTime = 5_000_000, 4
+	return cottonlanding.TableReading{Shown: cottonlanding.TableInstant(w.now + ahead), Asked: w.now - callTime, Came: w.now}
 }
 
 func (w *world) scan(prefix cottonlanding.Key) []cottonlanding.Row {
@@ -177,6 +187,7 @@
 // begin takes the next plan; commit applies it.
 func (w *world) begin() {
 	if w.plan == nil {
+		w.cell.SetTableClock(w.tableClock())
 		w.cell.Decide(w.now, int64(w.now))
 		w.plan = w.cell.Plan(w.now)
 	}
