The entry of an ended life is no successor of the worker that came at its address

What callers saw: a task runs twice (TWICE).

Cause: a worker that was no longer listed was taken for ended if any other entry had its address. Entries of lives that have ended stay for seconds; where the worker that came at the address leaves the list first, the stale entry of the life before it counted as its successor, and what it ran was started anew beside it. The same mistake settled open lives as ended.

Ruled out: a check of which entry came first. A new owner reads both at once.

Change: a life that isn't listed has ended once another worker answers at its address, later than it did itself. That is looked at with each decision, not only when the list changes.

Why it holds: one process has an address at a time.

--- a/internal/workflow/planner/openlife.go
+++ b/internal/workflow/planner/openlife.go
@@ -71,16 +71,6 @@
 	c.settleOpen(w.info.ID, func(life cottonlanding.Life) bool { return life.Born.IsOtherThan(w.born) }, now)
 }
 
-// settleReplaced settles the open lives of workers that are no longer listed while others have their
-// addresses.
-func (c *Cell) settleReplaced(listed map[cottonlanding.WorkerID]bool, addresses map[cottonlanding.Address]cottonlanding.WorkerID, now cottonlanding.Millis) {
-	for _, id := range slices.Sorted(maps.Keys(c.open)) {
-		if _, replaced := addresses[c.open[id].address]; replaced && !listed[id] {
-			c.settleOpen(id, hasEnded, now)
-		}
-	}
-}
-
 // pruneOpen settles what nothing can tell any more, and forgets what nobody waits for: a worker that is gone for good
 // is never heard.
 func (c *Cell) pruneOpen(now cottonlanding.Millis) {
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -243,6 +243,7 @@
 // lapse ends the runs on workers whose lease surely ran out. A new owner first asks
 // each of them: what it ran may have ended well before that, and must not be run again.
 func (c *Cell) lapse(now cottonlanding.Millis) {
+	c.settleSuccessors(now)
 	for _, w := range c.sortedWorkers() {
 		if w.lapsed(now) {
 			c.loseWorker(w, now, lossByLapse)
--- /dev/null
+++ b/internal/workflow/planner/successor.go
@@ -0,0 +1,59 @@
+package planner
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// One process has an address at a time. A life that is no longer listed has ended once another one
+// answers there. That another one is listed there says nothing: entries of lives that have ended
+// stay for some seconds, also beside and after those of their successors.
+
+// settleSuccessors ends the runs, and settles the open lives, of workers that are no longer listed and at whose
+// addresses others answer.
+func (c *Cell) settleSuccessors(now cottonlanding.Millis) {
+	var gone []*worker
+	for _, w := range c.sortedWorkers() {
+		if !w.listed && w.runs.size() > 0 {
+			gone = append(gone, w)
+		}
+	}
+	if len(gone) == 0 && len(c.open) == 0 {
+		return
+	}
+	answering := c.answeringAt()
+	for _, w := range gone {
+		if successor := answering[w.info.Address]; successor != nil && successor.answered > w.answered {
+			c.loseWorker(w, now, lossBySuccessor)
+			c.forgetWorker(w.info.ID)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.open)) {
+		if c.succeeded(id, answering) {
+			c.settleOpen(id, hasEnded, now)
+		}
+	}
+}
+
+// answeringAt returns the listed workers that answer, by address.
+func (c *Cell) answeringAt() map[cottonlanding.Address]*worker {
+	out := make(map[cottonlanding.Address]*worker)
+	for _, w := range c.sortedWorkers() {
+		if w.listed && w.answered > 0 && !w.failed && w.info.Address != "" {
+			out[w.info.Address] = w
+		}
+	}
+	return out
+}
+
+// succeeded reports whether another worker has answered in place of one that tasks have left open.
+func (c *Cell) succeeded(id cottonlanding.WorkerID, answering map[cottonlanding.Address]*worker) bool {
+	w := c.workers[id]
+	successor := answering[c.open[id].address]
+	if successor == nil || successor.info.ID == id || w != nil && w.listed {
+		return false
+	}
+	return w == nil || successor.answered > w.answered
+}
--- /dev/null
+++ b/internal/workflow/planner/successor_test.go
@@ -0,0 +1,55 @@
+package planner_test
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// playHanging lets a while pass in which the looks at a worker hang.
+func (w *world) playHanging(id cottonlanding.WorkerID, span cottonlanding.Millis) {
+	for end := w.now + span; w.now < end; {
+		w.decide(turnSpan)
+		for _, worker := range w.workers {
+			if worker.ID != id {
+				w.look(worker.ID, true)
+			}
+		}
+	}
+}
+
+// playStaleEntry plays a worker that crashes, whose entry stays and whose looks hang, and another one that comes at its
+// address, serves on and leaves the list first. Owners change before that if told so.
+func playStaleEntry(t *testing.T, ownerChanges bool) *world {
+	t.Helper()
+	w := newSpreadWorld(t)
+	w.play(cottonlanding.Second)
+	w.lose("w1")
+	w.addLife(w.workers[0])
+	came := len(w.workers) - 1
+	w.cell.SetWorkers(slices.Clone(w.workers), w.now)
+	w.playHanging("w1", 200)
+	w.submit("lasts", "Urgent", cottonlanding.Step{Tasks: 8, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}})
+	w.playHanging("w1", 400)
+	require.Equal(t, 8, w.runner.Lasting())
+	if ownerChanges {
+		w.takeOverFrom(w.now + ownerSeenGone)
+		w.playHanging("w1", 100)
+	}
+	w.unlist(came)
+	return w
+}
+
+// TestEntryOfAnEndedLifeIsNoSuccessor: the entry of a life that had crashed stood longer than that of the worker which came at its address.
+// The latter served on and was taken for ended, and its tasks ran twice.
+func TestEntryOfAnEndedLifeIsNoSuccessor(t *testing.T) {
+	for _, ownerChanges := range []bool{false, true} {
+		w := playStaleEntry(t, ownerChanges)
+		w.playHanging("w1", cottonlanding.Second)
+		require.Empty(t, w.runner.Violations(), "owner changes: %t", ownerChanges)
+		require.Equal(t, 8, w.runner.Lasting())
+	}
+}
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -221,7 +221,6 @@
 // nothing new and is forgotten once nothing can run on it.
 func (c *Cell) SetWorkers(infos []cottonlanding.WorkerInfo, now cottonlanding.Millis) {
 	listed := make(map[cottonlanding.WorkerID]bool, len(infos))
-	addresses := make(map[cottonlanding.Address]cottonlanding.WorkerID, len(infos))
 	c.dropEnded(infos)
 	for _, info := range infos {
 		if ended, known := c.ended[info.ID]; known && ended.bars(info) {
@@ -231,7 +230,6 @@
 		if lives := c.open[info.ID]; lives != nil {
 			lives.address = info.Address
 		}
-		addresses[info.Address] = info.ID
 		w := c.workers[info.ID]
 		if w == nil {
 			w = c.addWorker(info, now)
@@ -244,7 +242,6 @@
 		c.recordCordon(w)
 	}
 	c.listRead = c.listRead || len(infos) > 0
-	c.settleReplaced(listed, addresses, now)
 	for _, w := range c.sortedWorkers() {
 		if w.listed && !listed[w.info.ID] {
 			c.log.Info("worker no longer listed", "Worker", w.info.ID, "Runs", w.runs.size())
@@ -254,13 +251,11 @@
 		if w.listed {
 			continue
 		}
-		if successor := addresses[w.info.Address]; successor != "" && successor != w.info.ID {
-			c.loseWorker(w, now, lossBySuccessor)
-		}
 		if w.runs.size() == 0 {
 			c.forgetWorker(w.info.ID)
 		}
 	}
+	c.settleSuccessors(now)
 }
 
 func (c *Cell) forgetWorker(id cottonlanding.WorkerID) {
