Planner: a waiting step counts the workers by each gate

Seen by operators: `step waits` counted a worker that is kept for another task, one on which tasks are kept apart, and one that fits but is passed over by the policy as `WouldDisturb`, also for tasks that disturb nobody. So the log could not tell why a lasting task had no worker.

Cause: the line repeated some of the checks of fits and took the rest for disturbance.

`Fits` counts the workers that would take the task, KeptForOther and KeptApart have counts of their own. Telling leaves the measured room of a worker as it was.

Test: TestWaitingStepTellsEachGate; on the code before, "kept for another" gave WouldDisturb 1 instead of KeptForOther 1, and "policy" WouldDisturb 4 instead of Fits 4; the other six pass on both.

--- /dev/null
+++ b/internal/workflow/planner/gate_test.go
@@ -0,0 +1,131 @@
+package planner_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// gateKeys are the counts of a line that tells why a step waits.
+var gateKeys = []string{"Unusable", "Barred", "Full", "KeptForOther", "KeptApart", "Due", "WouldDisturb", "Fits"}
+
+// listen has the world's next owners log into a buffer.
+func (w *world) listen() *bytes.Buffer {
+	log := &bytes.Buffer{}
+	w.log = slog.New(slog.NewJSONHandler(log, nil))
+	w.takeOver()
+	return log
+}
+
+// linesOf returns the lines of a JSON log that have one of the messages.
+func linesOf(t require.TestingT, log *bytes.Buffer, messages ...string) []map[string]any {
+	var out []map[string]any
+	decoder := json.NewDecoder(bytes.NewReader(log.Bytes()))
+	for decoder.More() {
+		var line map[string]any
+		require.NoError(t, decoder.Decode(&line))
+		if slices.Contains(messages, line[slog.MessageKey].(string)) {
+			out = append(out, line)
+		}
+	}
+	return out
+}
+
+// waitsOf returns the lines that tell why a task waits.
+func waitsOf(t require.TestingT, log *bytes.Buffer, task string) []map[string]any {
+	return slices.DeleteFunc(linesOf(t, log, "step waits"), func(line map[string]any) bool { return line["Task"] != task })
+}
+
+// gatesOf returns the counts of a line that aren't zero.
+func gatesOf(line map[string]any) map[string]int {
+	out := make(map[string]int)
+	for _, key := range gateKeys {
+		if count, _ := line[key].(float64); count > 0 {
+			out[key] = int(count)
+		}
+	}
+	return out
+}
+
+// refusing is a placement that takes no worker.
+type refusing struct{}
+
+func (refusing) Place(cottonlanding.TaskView, []cottonlanding.WorkerView) int {
+	return cottonlanding.NoWorker
+}
+
+// TestWaitingStepTellsEachGate guards against a log that can't tell why a lasting task waits: workers kept for
+// another task, and such that the policy passes over, were counted as those that a task would disturb.
+func TestWaitingStepTellsEachGate(t *testing.T) {
+	filling := cottonlanding.Step{Tasks: 2, Fills: true, Estimate: 500, Resources: cottonlanding.Resources{CPU: 4000, Memory: cottonlanding.Gigabyte}}
+	barred := lasting(1, 0, 1000)
+	barred.Requires = "Missing"
+	for name, example := range map[string]struct {
+		step  cottonlanding.Step
+		play  func(*world)
+		gates map[string]int
+	}{
+		"leaving":          {lasting(1, 0, 1000), leaveAllButOne, map[string]int{"Unusable": 3, "Full": 1}},
+		"label":            {barred, func(*world) {}, map[string]int{"Barred": 4}},
+		"bound of workers": {lasting(5, 1, 1000), func(*world) {}, map[string]int{"Barred": 4}},
+		"full":             {lasting(1, 0, 9000), func(*world) {}, map[string]int{"Full": 4}},
+		"kept for another": {short(3000), (*world).keepForLarge, map[string]int{"Full": 3, "KeptForOther": 1}},
+		"due to others":    {lasting(1, 0, 3000), loseOne, map[string]int{"Unusable": 1, "Full": 3, "Due": 1}},
+		"filling":          {filling, func(w *world) { fillAll(w, 7000) }, map[string]int{"WouldDisturb": 4}},
+		"policy": {lasting(1, 0, 1000), func(w *world) {
+			w.policy.LastingPlacement = refusing{}
+			w.takeOver()
+			w.play(cottonlanding.Second)
+		}, map[string]int{"Fits": 4}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newSpreadWorld(t)
+			log := w.listen()
+			w.play(cottonlanding.Second)
+			example.play(w)
+			w.submit("later", "Urgent", example.step)
+			w.play(1400)
+			last := cottonlanding.TaskRef{Workflow: "later", Index: example.step.Tasks - 1}
+			lines := waitsOf(t, log, last.String())
+			if example.step.Fills {
+				lines = waitsOf(t, log, first("later").String()) // none of them has a worker, and the first speaks for all
+			}
+			require.NotEmpty(t, lines)
+			require.Equal(t, example.gates, gatesOf(lines[0]))
+			sum := 0
+			for _, count := range gatesOf(lines[0]) {
+				sum += count
+			}
+			require.EqualValues(t, lines[0]["Workers"], sum, "each worker counts once")
+		})
+	}
+}
+
+// leaveAllButOne has three of the workers leave, and fills the last one.
+func leaveAllButOne(w *world) {
+	for number := range 3 {
+		w.leave(number)
+	}
+	w.submit("lasting", "Urgent", lasting(1, 0, 8000))
+	w.play(cottonlanding.Second)
+}
+
+// loseOne has a lasting task lost with its worker, and another worker join that has room for it.
+func loseOne(w *world) {
+	w.submit("lasting", "Urgent", lasting(4, 1, 6000))
+	w.play(cottonlanding.Second)
+	w.crash(0)
+	w.join()
+}
+
+// fillAll has lasting tasks take as much of each worker.
+func fillAll(w *world, cpu cottonlanding.Millicores) {
+	w.submit("lasting", "Urgent", lasting(4, 1, cpu))
+	w.play(cottonlanding.Second)
+}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -236,29 +236,12 @@
 
 // fits reports whether a worker may run a task and has room for it now.
 func (c *Cell) fits(t *task, w *worker, now cottonlanding.Millis) bool {
-	room := c.room(w, now)
-	if !t.stage.Reserved().Fits(room.free) || !c.allowed(t, w, now) || w.keptFrom(t, now) || c.keptApart(t, w, now) || c.isDue(t, w, now) {
-		return false
-	}
-	if !t.stage.Fills {
-		return true
-	}
-	enough := float64(room.spare) >= leastFillShare*float64(t.stage.Resources.CPU)
-	return enough && c.bearable(w, t.stage.Step, now) >= leastPart
+	return c.gate(t, w, now) == noGate
 }
 
 // allowed reports whether a worker may run a task, if it had room.
 func (c *Cell) allowed(t *task, w *worker, now cottonlanding.Millis) bool {
-	s := t.stage
-	switch {
-	case !w.usable(now) || w.info.Service != t.job.queue.Service:
-		return false
-	case s.Requires != "" && !slices.Contains(w.info.Labels, s.Requires):
-		return false
-	case s.MostPerWorker > 0 && w.countOf(t.ref) >= s.MostPerWorker:
-		return false
-	}
-	return true
+	return w.usable(now) && w.suits(t) && !w.boundReached(t)
 }
 
 // countOf counts the runs of a task's step and round.
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -66,23 +66,11 @@
 	if !t.tellsWaiting(now) {
 		return
 	}
-	var unusable, barred, full, due, disturbed int
-	for _, w := range c.sortedWorkers() {
-		switch {
-		case !w.usable(now):
-			unusable++
-		case !c.allowed(t, w, now):
-			barred++
-		case !t.stage.Reserved().Fits(c.room(w, now).free):
-			full++
-		case c.isDue(t, w, now):
-			due++
-		default:
-			disturbed++
-		}
-	}
-	c.log.Info("step waits", "Task", t.ref.String(), "Waited", now-t.since, "Workers", len(c.workers), "Unusable", unusable,
-		"Barred", barred, "Full", full, "Due", due, "WouldDisturb", disturbed, "CPU", int64(t.stage.Resources.CPU), "Memory", t.stage.Resources.Memory.String())
+	counts := c.countGates(t, now)
+	c.log.Info("step waits", "Task", t.ref.String(), "Run", t.number, "Waited", now-t.since, "Workers", len(c.workers),
+		"Unusable", counts[unusableGate], "Barred", counts[barredGate], "Full", counts[fullGate], "KeptForOther", counts[keptForOtherGate],
+		"KeptApart", counts[keptApartGate], "Due", counts[dueGate], "WouldDisturb", counts[disturbGate], "Fits", counts[noGate],
+		"CPU", int64(t.stage.Resources.CPU), "Memory", t.stage.Resources.Memory.String())
 }
 
 // tellsWaiting reports whether it's time to log why a task waits, and notes that it is logged.
