Planner: a line when a lasting task is down and one when it runs again

Seen by operators: the log did not say when a lasting task began to be down, why, or when it ran again. It had to be pieced together from lines about placements and ends, which a busy second drops, and across owners.

Change: the owner keeps the downtime of each lasting task that was placed before, and logs its beginning (cause, reason of a stop, when the task was last known to run) and its end (how long it was down, waited for a place and took from placed to started, and the placements since). Lines are written once a decision, one for each worker with up to 50 tasks, so that the loss of a worker costs a few lines. A new owner tells what it loads without a run; of a run that it loads it tells once that is known to have ended. A keeper and the cell that takes a delegated task both tell.

Tests, none of whose lines existed before: a stop (0 lines before, 1 and 1 now), 60 tasks of a lost worker (0 before, 2 lines now), a new owner, a delegated task, and random histories in which beginnings and ends alternate under each owner and a lost worker's tasks are all told (0 of 2 before).

--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -109,6 +109,7 @@
 	superseded bool
 	counts     Counts
 	logBatch   logBatch
+	downtimes  downtimes
 }
 
 // Counts counts a cell's decisions since its owner took it.
--- a/internal/workflow/planner/delegation.go
+++ b/internal/workflow/planner/delegation.go
@@ -308,6 +308,7 @@
 	}
 	if told.Running {
 		c.recordDelegateRuns(j)
+		c.recordRunsElsewhere(t, told.Number, from, now)
 	}
 	if !told.Returned || told.Number == t.number || j.state.Final() {
 		return // or the answer is about an earlier delegation
@@ -319,6 +320,7 @@
 		t.returnedBy = make(map[cottonlanding.CellNumber]cottonlanding.Millis)
 	}
 	t.returnedBy[from], t.returnedAt, t.since = now, now, now-told.Waited
+	c.recordReturned(t, from, now)
 	c.touch(j)
 	c.recordBack(j)
 	c.log.Info("delegated task returned", "Task", t.ref.String(), "Run", t.number, "From", from, "Waited", now-t.since)
--- /dev/null
+++ b/internal/workflow/planner/downtime.go
@@ -0,0 +1,227 @@
+package planner
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// downtime is the time in which a lasting task that was placed before isn't known to run.
+type downtime struct {
+	task *task
+	// number is that of the run with which it began.
+	number cottonlanding.RunNumber
+	// ranAt is when the task was last known to run, zero if this owner never knew, and since is when this owner
+	// took in that it doesn't.
+	ranAt, since cottonlanding.Millis
+	// told says that it was logged: not before it's known that the task may have run, and runs no more.
+	told bool
+}
+
+// downtimes holds the downtimes of a cell, and what of their beginnings and ends is to be logged.
+type downtimes struct {
+	open   []*downtime
+	downs  []downLine
+	starts []downLine
+}
+
+// unknownSpan is what the log shows for a span of which this owner doesn't know the beginning.
+const unknownSpan cottonlanding.Millis = -1
+
+// logPlace is where a lasting task ran or runs: the key and the value of the log.
+type logPlace struct{ key, value string }
+
+func onWorker(w *worker) logPlace { return logPlace{"Worker", string(w.info.ID)} }
+
+func inCell(key string, cell cottonlanding.CellNumber) logPlace { return logPlace{key, cell.String()} }
+
+// downLine is a downtime of which something is to be logged.
+type downLine struct {
+	at     logPlace
+	task   *task
+	number cottonlanding.RunNumber
+	fields []logField
+}
+
+// logField is a key of the log with its value.
+type logField struct {
+	key   string
+	value any
+}
+
+// spanSince returns how long ago an instant was.
+func spanSince(at, now cottonlanding.Millis) cottonlanding.Millis {
+	if at == 0 {
+		return unknownSpan
+	}
+	return now - at
+}
+
+// lastSeen is when the run was last known to go on, zero if it never was.
+func (r *run) lastSeen() cottonlanding.Millis { return max(r.listedAt, r.ackedAt) }
+
+// mayHaveRun reports whether the run may have begun on its worker.
+func (r *run) mayHaveRun() bool { return r.lastSeen() > 0 || r.doubtful }
+
+// recordDown takes in that the run of a lasting task doesn't go on. It comes before the run is taken off its task.
+func (c *Cell) recordDown(r *run, cause string, now cottonlanding.Millis) {
+	t := r.task
+	if t == nil || t.run != r || !t.stage.Lasting || t.job.state.Final() {
+		return
+	}
+	if t.downtime == nil {
+		c.beginDowntime(t, r.lastSeen(), now)
+	}
+	if r.mayHaveRun() {
+		c.tellDown(t, onWorker(r.worker), cause, r.stopReason, now)
+	}
+}
+
+// endCause returns why a run that nobody lists as ended doesn't go on.
+func (r *run) endCause() string {
+	switch {
+	case r.stopping:
+		return "Stopped"
+	case r.phase == started:
+		return "Gone"
+	}
+	return "NotStarted"
+}
+
+// recordLoaded begins the downtime of a lasting task that a new owner has loaded. Of one that was placed nothing is
+// logged until it's known what became of its run.
+func (c *Cell) recordLoaded(t *task, now cottonlanding.Millis) {
+	if !t.stage.Lasting || t.number == 0 || t.job.state.Final() || t.state != taskWaiting && t.state != taskAssigned {
+		return
+	}
+	c.beginDowntime(t, 0, now)
+	if t.state == taskWaiting {
+		c.tellDown(t, logPlace{"Worker", ""}, "Loaded", "", now)
+	}
+}
+
+// recordGuestDown begins the downtime of a task that this cell takes for its keeper.
+func (c *Cell) recordGuestDown(t *task, now cottonlanding.Millis) {
+	if t.stage.Lasting && t.number > 0 {
+		c.beginDowntime(t, 0, now)
+		c.tellDown(t, inCell("Keeper", *t.job.guestOf), "Delegated", "", now)
+	}
+}
+
+// recordReturned takes in that another cell has no run of a task any more, and since when.
+func (c *Cell) recordReturned(t *task, from cottonlanding.CellNumber, now cottonlanding.Millis) {
+	if t.downtime == nil {
+		c.beginDowntime(t, t.since, now)
+		c.tellDown(t, inCell("GuestCell", from), "Returned", "", now)
+	}
+}
+
+func (c *Cell) beginDowntime(t *task, ranAt, now cottonlanding.Millis) {
+	t.downtime = &downtime{task: t, number: t.number, ranAt: ranAt, since: now}
+	c.downtimes.open = append(c.downtimes.open, t.downtime)
+}
+
+// tellDown has the beginning of a downtime logged, once.
+func (c *Cell) tellDown(t *task, at logPlace, cause, reason string, now cottonlanding.Millis) {
+	d := t.downtime
+	if d.told {
+		return
+	}
+	d.told = true
+	fields := []logField{{"Cause", cause}, {"Since", spanSince(d.ranAt, now)}}
+	if reason != "" {
+		fields = append(fields, logField{"Reason", reason})
+	}
+	c.downtimes.downs = append(c.downtimes.downs, downLine{at, t, t.number, fields})
+}
+
+// recordRuns takes in that a run is known to go on.
+func (c *Cell) recordRuns(r *run, now cottonlanding.Millis) {
+	t := r.task
+	if t == nil || t.downtime == nil || t.run != r {
+		return
+	}
+	waited := max(0, r.placedAt-t.downtime.since)
+	c.endDowntime(t, downLine{at: onWorker(r.worker), task: t, number: r.Number}, waited, now-r.placedAt, now)
+}
+
+// recordRunsElsewhere takes in that a run of a delegated task goes on in its guest cell.
+func (c *Cell) recordRunsElsewhere(t *task, number cottonlanding.RunNumber, cell cottonlanding.CellNumber, now cottonlanding.Millis) {
+	if t.downtime != nil {
+		c.endDowntime(t, downLine{at: inCell("GuestCell", cell), task: t, number: number}, unknownSpan, unknownSpan, now)
+	}
+}
+
+func (c *Cell) endDowntime(t *task, line downLine, waited, starting, now cottonlanding.Millis) {
+	d := t.downtime
+	t.downtime = nil
+	if !d.told {
+		return
+	}
+	line.fields = []logField{{"DownFor", spanSince(d.ranAt, now)}, {"KnownFor", now - d.since}, {"WaitedForPlace", waited},
+		{"PlacedToStarted", starting}, {"Placements", int(line.number - d.number)}}
+	c.downtimes.starts = append(c.downtimes.starts, line)
+}
+
+// over reports whether nothing more is to be told of a downtime here.
+func (d *downtime) over() bool {
+	t := d.task
+	return t.downtime != d || t.job.state.Final() || t.state == taskDone || t.state == taskElsewhere
+}
+
+// logDowntimes logs which lasting tasks began to be down and which run again, a line for each place.
+func (c *Cell) logDowntimes() {
+	c.logDownLines("lasting task down", "lasting tasks down", c.downtimes.downs)
+	c.logDownLines("lasting task runs again", "lasting tasks run again", c.downtimes.starts)
+	c.downtimes.downs, c.downtimes.starts = nil, nil
+	c.downtimes.open = slices.DeleteFunc(c.downtimes.open, (*downtime).over)
+}
+
+// tasksPerLine bounds the tasks that one line lists.
+const tasksPerLine = 50
+
+// logDownLines logs one line for each place, which lists its tasks if there are several.
+func (c *Cell) logDownLines(one, several string, lines []downLine) {
+	lines = slices.DeleteFunc(lines, func(l downLine) bool { return l.task.job.state.Final() })
+	byPlace := make(map[logPlace][]downLine)
+	var places []logPlace
+	for _, line := range lines {
+		if byPlace[line.at] == nil {
+			places = append(places, line.at)
+		}
+		byPlace[line.at] = append(byPlace[line.at], line)
+	}
+	for _, at := range places {
+		for some := range slices.Chunk(byPlace[at], tasksPerLine) {
+			c.logDownLine(one, several, some)
+		}
+	}
+}
+
+func (c *Cell) logDownLine(one, several string, lines []downLine) {
+	at := lines[0].at
+	if len(lines) > 1 {
+		tasks := make([]string, 0, len(lines))
+		for _, line := range lines {
+			tasks = append(tasks, line.String())
+		}
+		c.log.Info(several, at.key, at.value, "Tasks", tasks, "Epoch", c.setup.Epoch)
+		return
+	}
+	line := lines[0]
+	values := []any{"Task", line.task.ref.String(), "Run", line.number, at.key, at.value}
+	for _, field := range line.fields {
+		values = append(values, field.key, field.value)
+	}
+	c.log.Info(one, append(values, "Epoch", c.setup.Epoch)...)
+}
+
+// String returns the line as an entry of a list: task#run and its fields.
+func (l downLine) String() string {
+	out := fmt.Sprintf("%s#%d", l.task.ref, l.number)
+	for _, field := range l.fields {
+		out += fmt.Sprintf(" %s=%v", field.key, field.value)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/workflow/planner/downtime_test.go
@@ -0,0 +1,259 @@
+package planner_test
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+var (
+	downMessages  = []string{"lasting task down", "lasting tasks down"}
+	againMessages = []string{"lasting task runs again", "lasting tasks run again"}
+)
+
+// told returns how often lines with one of the messages name a task.
+func told(t require.TestingT, log *bytes.Buffer, messages []string, ref cottonlanding.TaskRef) int {
+	count := 0
+	for _, line := range linesOf(t, log, messages...) {
+		if line["Task"] == ref.String() {
+			count++
+		}
+		tasks, _ := line["Tasks"].([]any)
+		for _, entry := range tasks {
+			if strings.HasPrefix(entry.(string), ref.String()+"#") {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// awaitRun plays until a task runs, and returns how long that took.
+func (w *world) awaitRun(ref cottonlanding.TaskRef, within cottonlanding.Millis) cottonlanding.Millis {
+	began := w.now
+	for !w.runner.Runs(ref) {
+		w.turn(turnSpan)
+		require.Less(w.t, w.now-began, within)
+	}
+	return w.now - began
+}
+
+// idle returns the first task of a workflow's first step that doesn't run, beside some that are known.
+func (w *world) idle(id cottonlanding.WorkflowID, known ...int) int {
+	index := 0
+	for slices.Contains(known, index) || w.runs(id, index) {
+		index++
+	}
+	return index
+}
+
+// awaitAll plays until the first tasks of a workflow's first step run, and a little longer.
+func (w *world) awaitAll(id cottonlanding.WorkflowID, tasks int) {
+	w.play(cottonlanding.Second)
+	for began := w.now; !w.runsAll(id, tasks); {
+		w.turn(turnSpan)
+		require.Less(w.t, w.now-began, 3*runAgainWithin)
+	}
+	w.play(cottonlanding.Second)
+}
+
+// downsOf counts the downtimes that a log tells of the first tasks of a workflow's first step.
+func (w *world) downsOf(log *bytes.Buffer, id cottonlanding.WorkflowID, tasks int) int {
+	count := 0
+	for index := range tasks {
+		count += told(w.t, log, downMessages, cottonlanding.TaskRef{Workflow: id, Index: index})
+	}
+	return count
+}
+
+// TestStoppedLastingTaskTellsItsDowntime guards against a log from which it can't be read for how long a lasting task
+// was down, why, and in what that time went.
+func TestStoppedLastingTaskTellsItsDowntime(t *testing.T) {
+	w := newSpreadWorld(t)
+	log := w.listen()
+	w.play(cottonlanding.Second)
+	w.submit("lasting", "Urgent", lasting(4, 1, 6000))
+	w.play(cottonlanding.Second)
+	require.Empty(t, linesOf(t, log, slices.Concat(downMessages, againMessages)...), "a task that begins for the first time was not down")
+	w.leave(0)
+	ref := cottonlanding.TaskRef{Workflow: "lasting", Index: w.idle("lasting")}
+	w.play(2 * cottonlanding.Second)
+	w.join()
+	w.awaitRun(ref, cottonlanding.Second)
+	w.play(turnSpan)
+	downs := linesOf(t, log, downMessages...)
+	require.Len(t, downs, 1)
+	require.Equal(t, ref.String(), downs[0]["Task"])
+	require.EqualValues(t, 1, downs[0]["Run"])
+	require.EqualValues(t, w.workers[0].ID, downs[0]["Worker"])
+	require.Equal(t, "Stopped", downs[0]["Cause"])
+	require.Equal(t, "its worker is leaving", downs[0]["Reason"])
+	require.Less(t, downs[0]["Since"], float64(cottonlanding.Second))
+	starts := linesOf(t, log, againMessages...)
+	require.Len(t, starts, 1)
+	require.Equal(t, ref.String(), starts[0]["Task"])
+	require.EqualValues(t, 2, starts[0]["Run"])
+	require.EqualValues(t, 1, starts[0]["Placements"])
+	require.EqualValues(t, w.epoch, starts[0]["Epoch"])
+	waited, starting, known := starts[0]["WaitedForPlace"].(float64), starts[0]["PlacedToStarted"].(float64), starts[0]["KnownFor"].(float64)
+	require.InDelta(t, 2400, waited, 600, "a worker joined after as long")
+	require.Less(t, starting, float64(cottonlanding.Second))
+	require.Equal(t, known, waited+starting)
+	require.InDelta(t, known+downs[0]["Since"].(float64), starts[0]["DownFor"], 2*float64(turnSpan))
+}
+
+// TestOneLineTellsAllDownTasksOfAWorker guards against an owner whose log grows by a line a task when a worker is lost.
+func TestOneLineTellsAllDownTasksOfAWorker(t *testing.T) {
+	w := newSpreadWorld(t)
+	log := w.listen()
+	w.play(cottonlanding.Second)
+	w.submit("lasting", "Urgent", lasting(240, 60, 100))
+	w.play(cottonlanding.Second)
+	require.Equal(t, 240, w.runner.Lasting())
+	w.crash(2)
+	w.join()
+	w.play(runAgainWithin)
+	require.Equal(t, 240, w.runner.Lasting())
+	downs := linesOf(t, log, downMessages...)
+	require.Len(t, downs, 2, "50 of the 60 tasks in the first")
+	require.Equal(t, "w3", downs[0]["Worker"])
+	require.Contains(t, downs[0]["Tasks"].([]any)[0], "Cause=its lease surely ran out")
+	for index := range 240 {
+		ref := cottonlanding.TaskRef{Workflow: "lasting", Index: index}
+		require.Equal(t, told(t, log, downMessages, ref), told(t, log, againMessages, ref))
+	}
+	require.LessOrEqual(t, len(linesOf(t, log, againMessages...)), 16)
+}
+
+// TestNewOwnerTellsWhatIsDown guards against a downtime that a change of owners hides.
+func TestNewOwnerTellsWhatIsDown(t *testing.T) {
+	w := newSpreadWorld(t)
+	w.play(cottonlanding.Second)
+	w.submit("lasting", "Urgent", lasting(4, 1, 6000))
+	w.play(cottonlanding.Second)
+	w.leave(0)
+	waits := w.idle("lasting")
+	w.runner.Crash(w.workers[1].ID)
+	log := w.listen() // it loads a task that waits, one whose worker is gone, and two that run
+	inDoubt := w.idle("lasting", waits)
+	w.play(cottonlanding.Second)
+	require.Len(t, linesOf(t, log, downMessages...), 1)
+	down := linesOf(t, log, downMessages...)[0]
+	require.Equal(t, cottonlanding.TaskRef{Workflow: "lasting", Index: waits}.String(), down["Task"])
+	require.Equal(t, "Loaded", down["Cause"])
+	require.EqualValues(t, -1, down["Since"])
+	w.play(runAgainWithin)
+	require.Len(t, linesOf(t, log, downMessages...), 2)
+	down = linesOf(t, log, downMessages...)[1]
+	require.Equal(t, cottonlanding.TaskRef{Workflow: "lasting", Index: inDoubt}.String(), down["Task"])
+	require.Equal(t, "its lease surely ran out", down["Cause"])
+	require.EqualValues(t, -1, down["Since"])
+	require.Empty(t, linesOf(t, log, againMessages...), "there is no room, and the others ran on")
+}
+
+// TestDowntimesBeginAndEndInTurn guards against lines that miss a downtime, or tell one twice: under each owner, the
+// beginnings and ends that are told of a task alternate, and the last agrees with what runs in the end.
+func TestDowntimesBeginAndEndInTurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newSpreadWorld(t)
+		log := w.listen()
+		w.play(cottonlanding.Second)
+		w.submit("lasting", "Urgent", lasting(6, 0, 1500))
+		w.play(cottonlanding.Second)
+		owners := []*bytes.Buffer{log}
+		fault := func() string {
+			return rapid.SampledFrom([]string{"", "", "", "lost", "refused", "unanswered"}).Draw(t, "Fault")
+		}
+		for range rapid.IntRange(5, 40).Draw(t, "Steps") {
+			at := rapid.IntRange(0, len(w.workers)-1).Draw(t, "Worker")
+			switch rapid.SampledFrom([]string{"turn", "turn", "wait", "crash", "dark", "leave", "owner", "orders"}).Draw(t, "Step") {
+			case "wait":
+				w.play(cottonlanding.Millis(rapid.IntRange(1, 4000).Draw(t, "Wait")))
+			case "crash":
+				w.runner.Crash(w.workers[at].ID)
+				w.workers = slices.Delete(slices.Clone(w.workers), at, at+1)
+				w.join()
+			case "dark":
+				w.runner.Dark(w.workers[at].ID, rapid.Bool().Draw(t, "Dark"))
+			case "leave":
+				w.leave(at)
+				w.join()
+			case "owner":
+				owners = append(owners, w.listen())
+			case "orders":
+				w.now += turnSpan
+				w.commit()
+				w.orders(fault)
+			default:
+				w.turn(turnSpan)
+			}
+		}
+		for _, info := range w.workers {
+			w.runner.Dark(info.ID, false)
+		}
+		w.awaitAll("lasting", 6)
+		last := owners[len(owners)-1]
+		before := w.downsOf(last, "lasting", 6)
+		at := slices.IndexFunc(w.workers, func(info cottonlanding.WorkerInfo) bool { return w.runner.RunsOn(info.ID) > 0 })
+		lost := w.runner.RunsOn(w.workers[at].ID)
+		w.crash(at)
+		w.join()
+		w.awaitAll("lasting", 6)
+		require.Equal(t, before+lost, w.downsOf(last, "lasting", 6))
+		for index := range 6 {
+			ref := cottonlanding.TaskRef{Workflow: "lasting", Index: index}
+			for number, owner := range owners {
+				down, again := told(t, owner, downMessages, ref), told(t, owner, againMessages, ref)
+				require.Contains(t, []int{0, 1}, down-again, fmt.Sprintf("owner %d, %s", number, ref))
+				if number == len(owners)-1 {
+					require.Equal(t, down, again, ref.String())
+				}
+			}
+		}
+	})
+}
+
+// TestDelegatedTaskTellsItsDowntime guards against a downtime whose end can't be read where a task was delegated: its
+// keeper and the cell that takes it both tell.
+func TestDelegatedTaskTellsItsDowntime(t *testing.T) {
+	n := newNeighbours(t, 2, 2)
+	logs := []*bytes.Buffer{n.cells[0].listen(), n.cells[1].listen()}
+	n.turn(100)
+	n.cells[0].submit("l", "Bulk", lastingCores(16)) // all of its cell
+	for range 5 {
+		n.turn(100)
+	}
+	n.cells[0].runner.Crash(n.cells[0].workers[0].ID)
+	var lost []cottonlanding.TaskRef
+	for index := range 16 {
+		if !n.cells[0].runs("l", index) {
+			lost = append(lost, cottonlanding.TaskRef{Workflow: "l", Index: index})
+		}
+	}
+	require.Len(t, lost, 8)
+	for turns := 0; n.cells[0].runner.Lasting() < 16; turns++ {
+		require.Less(t, cottonlanding.Millis(100*turns), timing.Lease+runsAgainWithin)
+		n.turn(100)
+	}
+	n.turn(100)
+	n.turn(100)
+	for _, ref := range lost {
+		for cell, log := range logs {
+			require.Equal(t, 1, told(t, log, downMessages, ref), "cell %d", cell)
+			require.Equal(t, 1, told(t, log, againMessages, ref), "cell %d", cell)
+		}
+	}
+	taken := linesOf(t, logs[1], downMessages...)
+	require.Len(t, taken, 1, "all eight at once")
+	require.Equal(t, "0", taken[0]["Keeper"])
+	for _, line := range linesOf(t, logs[0], againMessages...) {
+		require.Equal(t, "1", line["GuestCell"])
+	}
+}
--- a/internal/workflow/planner/guest.go
+++ b/internal/workflow/planner/guest.go
@@ -144,6 +144,7 @@
 	t.number, t.crashes, t.since = told.Number, told.Crashes, now
 	t.stage.ready = true
 	t.takeCheckpoint(told, now)
+	c.recordGuestDown(t, now)
 	c.touch(t.job)
 	c.reportedAt = 0
 	c.log.Info("guest task accepted", "Task", t.ref.String(), "Run", t.number, "Keeper", t.job.guestOf)
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -101,6 +101,8 @@
 	run  *run
 	// since is when the task began to wait.
 	since cottonlanding.Millis
+	// downtime is set while a lasting task that was placed before isn't known to run.
+	downtime *downtime
 	// failedOn lists the lives of workers that failed it or on which it stood still.
 	failedOn []cottonlanding.Life
 	// roomUntil is how long the task waits for room that is being made.
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -108,6 +108,7 @@
 	}
 	t.setLife(row.Life)
 	t.loadCheckpoint(row, now)
+	c.recordLoaded(t, now)
 	t.crashes = cottonlanding.CrashRecord{Losses: row.Losses, Crashes: row.Crashes}
 	if row.OpenLife.Worker != "" {
 		t.setOpenLife(row.OpenLife)
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -147,6 +147,7 @@
 		}
 		r.progress(progress, now)
 		c.recordOutlived(r)
+		c.recordRuns(r, now)
 		c.clear(r, now)
 	}
 	if len(report.Ended) >= endsPerAnswer {
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -245,6 +245,7 @@
 		if r.phase < started {
 			r.phase, r.ackedAt, r.moved = started, now, now
 			c.counts.Starts++
+			c.recordRuns(r, now)
 		}
 	case errors.Is(err, ErrUnwanted):
 		if !r.doubtful {
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -35,6 +35,7 @@
 	c.place(now)
 	c.returnGuests(now)
 	c.prune(now)
+	c.logDowntimes()
 	c.logSummary(now)
 }
 
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -42,6 +42,7 @@
 		return
 	}
 	r.recordCheckpoint(end.Checkpoint, checkpointEnded, now)
+	c.recordDown(r, string(end.Kind), now)
 	t.run = nil
 	if t.job.state.Final() {
 		return
@@ -149,6 +150,7 @@
 	if t == nil || t.run != r {
 		return
 	}
+	c.recordDown(r, r.endCause(), now)
 	t.run = nil
 	if !t.job.state.Final() {
 		c.requeue(t, now)
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -290,6 +290,7 @@
 	convicted := c.blame(w, runs, why, now)
 	for _, r := range runs {
 		c.counts.Lost++
+		c.recordDown(r, string(why), now)
 		if why == lossByBirth {
 			c.loseEarlier(r, now)
 			continue
