What waits is counted by what workers have begun

Cause: one field stood for two facts. It was set as a task was placed, and stayed when its start was lost, refused, late or taken back. Hand-over, rank and delegation rightly ask that ("may no longer leave"); the count of what waits asks whether a worker has begun a task.

Change: a job is `placed` once a task of it was, and `started` once a worker has answered a start, listed a run, going on or as ended (also one that was given up), or a guest cell tells of a run. The row keeps the name Begun for the first, so that owners of older code hand over nothing that was placed. Started is a field of its own, written with whatever else changes the row. A new owner that doesn't find it counts the workflow until a look tells, unless the tasks of the row show it (done, failed, outlived, with a checkpoint): too many for a moment, never too few. Guests are left out by name; their keeper counts them.

Why it holds: nothing but a worker's or a guest cell's word sets the field, so that a workflow that has begun nowhere always counts.

--- a/internal/stand/runner/notes.go
+++ b/internal/stand/runner/notes.go
@@ -27,6 +27,18 @@
 	return notes{done: make(map[cottonlanding.TaskRef]string), began: make(map[cottonlanding.TaskRef]cottonlanding.Millis)}
 }
 
+// HasBegun reports whether a run of a workflow has ever begun, on any worker.
+func (r *Runner) HasBegun(id cottonlanding.WorkflowID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for task := range r.notes.began {
+		if task.Workflow == id {
+			return true
+		}
+	}
+	return false
+}
+
 // forgetSeen forgets the ends up to a number.
 func (r *Runner) forgetSeen(w *worker, seen uint64) {
 	for len(w.ended) > 0 && w.ended[0].Serial <= seen {
--- a/internal/workflow/planner/delegation.go
+++ b/internal/workflow/planner/delegation.go
@@ -132,11 +132,11 @@
 }
 
 // Delegables returns up to a number of lasting tasks that wait without room here, those that had a run first; if there
-// are more, others the next time. Workflows of which nothing has begun are left out where they can be handed over whole.
+// are more, others the next time. Workflows of which nothing was placed are left out where they can be handed over whole.
 func (c *Cell) Delegables(most int, home func(cottonlanding.WorkflowID) bool, now cottonlanding.Millis) []Delegable {
 	var interrupted, others []*task
 	for _, j := range c.order {
-		if !j.lasts || !j.begun && home(j.ID) || !c.mayDelegate(j) {
+		if !j.lasts || !j.placed && home(j.ID) || !c.mayDelegate(j) {
 			continue
 		}
 		j.eachTask(func(t *task) {
@@ -333,10 +333,11 @@
 
 // recordDelegateRuns notes that a task of the workflow runs in another cell.
 func (c *Cell) recordDelegateRuns(j *job) {
-	if j.begun {
+	j.started = true
+	if j.placed {
 		return
 	}
-	j.begun = true
+	j.placed = true
 	if j.state == cottonlanding.WorkflowPending {
 		j.state = cottonlanding.WorkflowRunning
 	}
--- a/internal/workflow/planner/delegation_test.go
+++ b/internal/workflow/planner/delegation_test.go
@@ -138,6 +138,9 @@
 			}
 		}
 		require.Equal(t, expected, n.cells[0].runner.Lasting(), "each task runs once")
+		for cell, w := range n.cells {
+			require.Zero(t, w.cell.Waiting("Bulk"), "what waits in cell %d", cell)
+		}
 		for id, home := range homes {
 			n.cancel(home, id)
 		}
--- a/internal/workflow/planner/guest.go
+++ b/internal/workflow/planner/guest.go
@@ -130,7 +130,7 @@
 		return nil
 	}
 	j := newJob(asked.Workflow, queue, now)
-	j.spec, j.guestOf, j.begun, j.state = spec, &keeper, true, cottonlanding.WorkflowRunning
+	j.spec, j.guestOf, j.placed, j.state = spec, &keeper, true, cottonlanding.WorkflowRunning
 	j.eachTask(func(t *task) { t.setAway(taskElsewhere) })
 	c.addJob(j)
 	c.touch(j)
--- a/internal/workflow/planner/handover.go
+++ b/internal/workflow/planner/handover.go
@@ -31,7 +31,7 @@
 	if _, known := c.queues.Queues[j.Queue]; !known {
 		return false // other cells take no workflow of a queue that was removed
 	}
-	waits := now-j.accepted >= moveAfter && !j.begun && !j.state.Final() && j.Schedule.Rounds == 0
+	waits := now-j.accepted >= moveAfter && !j.placed && !j.state.Final() && j.Schedule.Rounds == 0
 	if !waits || !stateFits(j.Workflow, widestLife) {
 		return false // a cell whose workers have longer ids might refuse it
 	}
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -30,8 +30,9 @@
 	lasts, missed bool
 	// rank is where the workflow goes among those of its priority.
 	rank cottonlanding.Rank
-	// begun says that a task of the job has been placed once.
-	begun bool
+	// placed says that a task of the job has been placed once, so that the job may no longer leave the
+	// cell, started that a worker is known to have begun one: a start may be lost, refused or late.
+	placed, started bool
 	// dataCentre is where tasks of the job that don't last go if there is room.
 	dataCentre cottonlanding.DataCentre
 	// dirtySince is the number of plans made before the job's first change that is not
@@ -321,11 +322,12 @@
 	return j.shown, true
 }
 
-// Waiting counts the accepted workflows of a queue of which no task has begun.
+// Waiting counts the accepted workflows of a queue of which no task has begun, as far as is known: a new owner
+// counts also those that have until their workers tell. Guests are counted by their keepers.
 func (c *Cell) Waiting(queue cottonlanding.QueueName) int {
 	count := 0
 	for _, j := range c.order {
-		if j.Queue == queue && j.committed && !j.begun && !j.state.Final() {
+		if j.Queue == queue && j.committed && !j.started && !j.isGuest() && !j.state.Final() {
 			count++
 		}
 	}
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -58,7 +58,8 @@
 	for number := len(j.rounds); number < state.Rounds.Begun; number++ {
 		j.addRound(number, now)
 	}
-	j.state, j.reason, j.begun, j.guestOf = state.State, state.Reason, state.Begun, state.GuestOf
+	j.state, j.reason, j.guestOf = state.State, state.Reason, state.GuestOf
+	j.placed, j.started = state.Placed, state.Started
 	j.committed, j.shown = true, state.State
 	j.version, j.specVersion = stateAt.Version, specAt.Version
 	if j.state.Final() {
@@ -72,6 +73,7 @@
 		}
 		at++
 	})
+	j.started = j.started || j.showsStart()
 	for _, r := range j.rounds {
 		r.unlock(now)
 		r.unlockGuests()
--- a/internal/workflow/planner/neighbours_test.go
+++ b/internal/workflow/planner/neighbours_test.go
@@ -42,13 +42,16 @@
 	overdue []sentAnswer
 	// cancelledAt is when the cancellation of a workflow was acknowledged.
 	cancelledAt map[cottonlanding.WorkflowID]cottonlanding.Millis
-	broken      []string
+	// cancelling holds the workflows whose cancellation was asked for.
+	cancelling map[cottonlanding.WorkflowID]bool
+	broken     []string
 	// choose chooses where the tasks of a cell go that go well.
 	choose func(cell int) func(planner.Delegable) (int, bool)
 }
 
 func newNeighbours(t require.TestingT, count, workers int) *neighbours {
-	n := &neighbours{t: t, stamps: make(map[[2]int]planner.DelegationStamp), cancelledAt: make(map[cottonlanding.WorkflowID]cottonlanding.Millis)}
+	n := &neighbours{t: t, stamps: make(map[[2]int]planner.DelegationStamp), cancelledAt: make(map[cottonlanding.WorkflowID]cottonlanding.Millis),
+		cancelling: make(map[cottonlanding.WorkflowID]bool)}
 	n.choose = n.roomy
 	for number := range count {
 		w := newWorldOf(t, selector.Default().Planner)
@@ -93,6 +96,7 @@
 
 func (n *neighbours) cancel(cell int, id cottonlanding.WorkflowID) {
 	w := n.cells[cell]
+	n.cancelling[id] = true
 	w.cell.Cancel(id, w.now, func(err error) {
 		if _, known := n.cancelledAt[id]; err == nil && !known {
 			n.cancelledAt[id] = w.now
@@ -172,6 +176,20 @@
 func (n *neighbours) check(t require.TestingT) {
 	require.Empty(t, n.cells[0].runner.Violations())
 	require.Empty(t, n.broken)
+	for cell, w := range n.cells {
+		require.GreaterOrEqual(t, w.cell.Waiting("Bulk"), n.notBegun(cell), "what waits in cell %d", cell)
+	}
+}
+
+// notBegun counts the workflows of a cell that nobody has cancelled and of which no cell has begun a task.
+func (n *neighbours) notBegun(cell int) int {
+	queueOf := make(map[cottonlanding.WorkflowID]cottonlanding.QueueName)
+	for id := range n.cells[cell].accepted {
+		if !n.cancelling[id] {
+			queueOf[id] = "Bulk"
+		}
+	}
+	return n.cells[cell].notBegun("Bulk", queueOf)
 }
 
 // deliverLate has everything arrive that was on its way.
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -171,6 +171,7 @@
 // Ordered takes in what became of an order.
 func (c *Cell) Ordered(order Order, reading cottonlanding.Reading, err error, now cottonlanding.Millis) {
 	c.absolve(order, err)
+	order.recordStartTaken(err)
 	w := c.workers[order.Worker.Life.Worker]
 	if w == nil {
 		return
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -47,7 +47,10 @@
 type stateRow struct {
 	State  cottonlanding.WorkflowState
 	Reason string `json:",omitempty"`
-	Begun  bool   `json:",omitempty"`
+	// Placed keeps the name by which owners of older code know what may no longer leave.
+	Placed bool `json:"Begun,omitempty"`
+	// Started is written with the next change of something else: see Cell.Waiting.
+	Started bool `json:",omitempty"`
 	// GuestOf is the cell that keeps the workflow, in a guest's row.
 	GuestOf *cottonlanding.CellNumber `json:",omitempty"`
 	Rounds  roundCount                `json:",omitzero"`
@@ -245,7 +248,14 @@
 // row returns the job's state for its row. Of a job that has succeeded no tasks are kept; those
 // of one that failed or was cancelled may still run.
 func (j *job) row() stateRow {
-	row := stateRow{State: j.state, Reason: shortened(j.reason), Begun: j.begun, GuestOf: j.guestOf, Rounds: roundCount{Begun: len(j.rounds)}}
+	row := stateRow{
+		State:   j.state,
+		Reason:  shortened(j.reason),
+		Placed:  j.placed,
+		Started: j.started,
+		GuestOf: j.guestOf,
+		Rounds:  roundCount{Begun: len(j.rounds)},
+	}
 	if j.state == cottonlanding.WorkflowSucceeded {
 		return row
 	}
--- a/internal/workflow/planner/rank.go
+++ b/internal/workflow/planner/rank.go
@@ -9,9 +9,9 @@
 // meanWeight is the weight of the newest workflow in the mean work of a queue's.
 const meanWeight = 0.02
 
-// begunScore is the score of lasting workflows that have begun, those that haven't have zero: in
+// placedScore is the score of lasting workflows of which a task was placed, others have zero: in
 // a full cell the latter may still be handed over to another one.
-const begunScore = -1
+const placedScore = -1
 
 // rankAll works out anew where each open workflow goes among those of its priority.
 func (c *Cell) rankAll(now cottonlanding.Millis) {
@@ -26,8 +26,8 @@
 }
 
 func (j *job) lastingScore() float64 {
-	if j.lasts && j.begun {
-		return begunScore
+	if j.lasts && j.placed {
+		return placedScore
 	}
 	return 0
 }
--- a/workflow.go
+++ b/workflow.go
@@ -170,7 +170,8 @@
 
 // The states of a workflow. The last three are final.
 const (
-	WorkflowPending   WorkflowState = "Pending"
+	WorkflowPending WorkflowState = "Pending"
+	// WorkflowRunning says that a task was placed on a worker, which may not have begun it yet.
 	WorkflowRunning   WorkflowState = "Running"
 	WorkflowSucceeded WorkflowState = "Succeeded"
 	WorkflowFailed    WorkflowState = "Failed"
