A gang has begun once all of it is there

Callers saw: a workflow whose gang waited on its workers for members whose starts were lost or late wasn't among those that wait, though none of its tasks had begun: those of a gang begin together.

Cause: the first answered start, listed run or listed end of any member counted as the workflow's beginning.

Ruled out: to count members that were answered. One may have ended alone by the time the last is answered; a list tells which of them are there.

Change: for a gang, all members must have runs that their workers have listed, or one must have ended as done or failed. The count goes down up to a look later than before for them, which is at most what a count may be old.

Why it holds: a run is only listed once its worker holds it, and a member that ended before is listed as ended and has no run then.

--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -141,12 +141,12 @@
 	listed := make(map[cottonlanding.RunKey]bool, len(report.Running))
 	for _, progress := range report.Running {
 		listed[progress.RunKey] = true
-		c.recordListed(progress.RunKey)
 		r := w.runs.get(progress.RunKey)
 		if r == nil {
 			r = c.adoptOrphan(w, progress.RunKey, now)
 		}
 		r.progress(progress, now)
+		c.recordListed(progress.RunKey)
 		c.recordOutlived(r)
 		c.clear(r, now)
 	}
--- a/internal/workflow/planner/notbegun_test.go
+++ b/internal/workflow/planner/notbegun_test.go
@@ -114,6 +114,43 @@
 	}
 }
 
+// TestGangWaitsUntilAllOfItRun guards against a workflow that counts as begun while its gang waits for members whose
+// starts are lost: the tasks of a gang begin together.
+func TestGangWaitsUntilAllOfItRun(t *testing.T) {
+	const members = 3
+	for answered := range members {
+		for _, how := range []string{"", "unanswered"} {
+			t.Run(fmt.Sprintf("%d of %d, %q", answered, members, how), func(t *testing.T) {
+				w := newSpreadWorld(t)
+				w.turn(100)
+				w.submit("slow", "Bulk", cottonlanding.Step{Tasks: members, Resources: lastingCore.Resources, Estimate: slowLasts, Gang: true})
+				w.commit()
+				sent := 0
+				w.orders(func() string {
+					sent++
+					if sent > answered {
+						return "lost"
+					}
+					return how
+				})
+				require.Equal(t, members, sent)
+				for range 3 {
+					w.now += 50
+					w.commit()
+					w.lookAll()
+					require.Equal(t, answered, w.runner.Running())
+					require.Equal(t, 1, w.cell.Waiting("Bulk"))
+				}
+				for range 20 {
+					w.turn(100)
+				}
+				require.Equal(t, members, w.runner.Running())
+				require.Zero(t, w.cell.Waiting("Bulk"))
+			})
+		}
+	}
+}
+
 // darkenAll makes all workers silent while they run on, or ends that.
 func (w *world) darkenAll(dark bool) {
 	for _, worker := range w.workers {
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -29,7 +29,7 @@
 		w.unnotedSince = now
 	}
 	w.noted = end.Serial
-	c.recordListed(end.RunKey)
+	c.recordEndListed(end)
 	r := w.runs.get(end.RunKey)
 	if r == nil {
 		c.recordLateEnd(w, end, now)
--- a/internal/workflow/planner/started.go
+++ b/internal/workflow/planner/started.go
@@ -1,20 +1,48 @@
 package planner
 
-import "github.com/cottonlanding/cottonlanding"
+import (
+	"slices"
 
-// recordListed notes that a worker has listed a run, as going on or as ended, so that its job has begun.
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// A task that a worker has taken has begun, but for one of a gang: the tasks of a gang wait on their workers until
+// all of one run are there.
+
+// recordListed notes what it says of the run's job that a worker has just listed the run.
 func (c *Cell) recordListed(key cottonlanding.RunKey) {
-	if j := c.jobs[key.Task.Workflow]; j != nil {
-		j.started = true
+	j := c.jobs[key.Task.Workflow]
+	if j == nil || j.started {
+		return
+	}
+	t := j.task(key.Task)
+	j.started = t == nil || !t.stage.Gang || t.stage.allListed()
+}
+
+// allListed reports whether each task of the step has a run that its worker has listed.
+func (s *stage) allListed() bool {
+	return !slices.ContainsFunc(s.tasks, func(t *task) bool { return t.run == nil || t.run.listedAt == 0 })
+}
+
+// recordEndListed notes what the end of a run says of the run's job, also if the run was given up before.
+func (c *Cell) recordEndListed(end cottonlanding.RunEnd) {
+	j := c.jobs[end.Task.Workflow]
+	if j == nil || j.started {
+		return
 	}
+	t := j.task(end.Task)
+	worked := end.Kind == cottonlanding.EndDone || end.Kind == cottonlanding.EndFailed
+	j.started = t == nil || !t.stage.Gang || worked
 }
 
-// recordStartTaken notes that a worker has answered that it has begun the run, in whichever life and whatever
-// has become of the run since.
+// recordStartTaken notes that a worker has answered that it has taken a start, in whichever life and whatever has become
+// of the run since.
 func (o Order) recordStartTaken(err error) {
-	if o.Verb == VerbStart && err == nil && o.run != nil {
-		o.run.task.job.started = true
+	if o.Verb != VerbStart || err != nil || o.run == nil {
+		return
 	}
+	t := o.run.task
+	t.job.started = t.job.started || !t.stage.Gang
 }
 
 // showsStart reports whether what is kept of the job's tasks says that one has begun: rows of older code don't
