--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -146,6 +146,7 @@
 			r = c.adoptOrphan(w, progress.RunKey, now)
 		}
 		r.progress(progress, now)
+		c.recordListed(progress.RunKey)
 		c.recordOutlived(r)
 		c.recordRuns(r, now)
 		c.clear(r, now)
