Lasting tasks near their last loss run again in time

A lasting task that is given up at its next loss waited up to 15 s for news of its last worker, and as long for an instant at which no worker had just fallen silent, beside workers with room for it. Both counted from when the task was requeued, which after a silence is a whole lease after its run.

Cause: the patience of suspects was set with short tasks in view. Ruled out: shorter waits for all, which short suspects need.

A lasting task now has one instant, 7 s after its run was last seen at work, from when on nothing that is for the sake of others holds it back. A worker that is kept for another suspect comes last then, and room is made as for any other task, which suspects with few losses never asked for. What is kept after the start of a suspect stays. Short tasks wait as before.

--- a/internal/workflow/planner/apart.go
+++ b/internal/workflow/planner/apart.go
@@ -64,9 +64,11 @@
 }
 
 // keptApart reports whether a task may not begin on a worker now, because it or the one
-// that has begun there runs apart.
+// that has begun there runs apart. It ends in time for a lasting task to run again.
 func (c *Cell) keptApart(t *task, w *worker, now cottonlanding.Millis) bool {
 	switch {
+	case t.mustRunAgain(now):
+		return false
 	case w.runsApart(now), t.awaitsNews(now):
 		return true
 	case !c.apart(t, now):
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -101,6 +101,8 @@
 	run  *run
 	// since is when the task began to wait.
 	since cottonlanding.Millis
+	// seenAt is when a run of the task was last known to be at work, zero if none was.
+	seenAt cottonlanding.Millis
 	// failedOn lists the lives of workers that failed it or on which it stood still.
 	failedOn []cottonlanding.Life
 	// roomUntil is how long the task waits for room that is being made.
--- /dev/null
+++ b/internal/workflow/planner/lastingwaits_test.go
@@ -0,0 +1,111 @@
+package planner_test
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// fewLossesLeft is as many losses as a task has that is given up at the next one.
+const fewLossesLeft = 4
+
+// seenOnce is how long the runs of suspects go on here before something happens: too short for them to have
+// outlived a crash.
+const seenOnce = 150 * cottonlanding.Millis(1)
+
+// silenceEvery is after how many turns another worker falls silent, so that there always is one that just has.
+const silenceEvery = 15
+
+// setLosses has the first task of a workflow be a suspect, for another owner.
+func (w *world) setLosses(id cottonlanding.WorkflowID, losses int) {
+	key := planner.StateKey(partition, id)
+	row := w.rows[key]
+	var state map[string]json.RawMessage
+	require.NoError(w.t, json.Unmarshal(row.Value, &state))
+	var tasks []planner.TaskRow
+	require.NoError(w.t, json.Unmarshal(state["Tasks"], &tasks))
+	tasks[0].Losses = losses
+	data, err := json.Marshal(tasks)
+	require.NoError(w.t, err)
+	state["Tasks"] = data
+	row.Value, err = json.Marshal(state)
+	require.NoError(w.t, err)
+	w.rows[key] = row
+	w.takeOver()
+}
+
+// suspectWorld is a cell of many workers, one of which has just begun a lasting task that is given up at the next loss.
+func suspectWorld(t require.TestingT) (w *world, at int) {
+	w = newSpreadWorld(t)
+	for range 20 {
+		w.addWorker()
+	}
+	w.relist()
+	w.play(cottonlanding.Second)
+	w.submit("lasting", "Urgent", lasting(1, 0, 6000))
+	w.commit()
+	w.setLosses("lasting", fewLossesLeft)
+	w.lookAll()
+	w.playUntilStarted()
+	w.play(seenOnce)
+	at = slices.IndexFunc(w.workers, func(info cottonlanding.WorkerInfo) bool { return w.runner.RunsOn(info.ID) > 0 })
+	require.GreaterOrEqual(t, at, 0)
+	return w, at
+}
+
+// downFor lets turns pass, with something happening in each, until all tasks of a workflow run, or much longer than they
+// may be down. It returns how long that took.
+func (w *world) downFor(id cottonlanding.WorkflowID, tasks int, meanwhile func()) cottonlanding.Millis {
+	since := w.now
+	for w.now-since < 3*startWithin {
+		w.turn(turnSpan)
+		meanwhile()
+		if w.runsAll(id, tasks) {
+			break
+		}
+	}
+	return w.now - since
+}
+
+// TestLastSuspectRunsAgainInTime: a lasting task that is given up at the next loss waited for news of its last worker
+// for 15 s from when its lease had run out, beside workers that had room: it was down for three times as long as it may be.
+func TestLastSuspectRunsAgainInTime(t *testing.T) {
+	w, at := suspectWorld(t)
+	w.runner.Dark(w.workers[at].ID, true)
+	for w.runner.Lasting() > 0 {
+		w.turn(turnSpan) // its lease runs out
+	}
+	down := w.downFor("lasting", 1, func() {})
+	require.Less(t, down, startWithin-timing.Lease, "the lease has run out before")
+	require.Empty(t, w.runner.Violations())
+}
+
+// TestSuspectRunsAgainInTimeAmongSilences: the same task waited for 15 s for an instant at which no worker had
+// just fallen silent.
+func TestSuspectRunsAgainInTimeAmongSilences(t *testing.T) {
+	w, at := suspectWorld(t)
+	next := 0
+	silence := func() {
+		if next == at {
+			next++
+		}
+		w.runner.Dark(w.workers[next].ID, true)
+		next++
+	}
+	silence()
+	w.workers[at].State = cottonlanding.Leaving
+	w.relist()
+	turns := 0
+	down := w.downFor("lasting", 1, func() {
+		if turns++; turns%silenceEvery == 0 && next < len(w.workers)-1 {
+			silence()
+		}
+	})
+	require.Less(t, down, startWithin)
+	require.Empty(t, w.runner.Violations())
+}
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -188,6 +188,7 @@
 		r.moved = now
 	}
 	r.listedAt = now
+	r.recordAtWork(now)
 	r.percent = p.Percent
 	r.tail, r.used = p.Tail, p.Used
 	r.recordCheckpoint(p.Checkpoint, checkpointListed, now)
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -244,6 +244,7 @@
 	case err == nil:
 		if r.phase < started {
 			r.phase, r.ackedAt, r.moved = started, now, now
+			r.recordAtWork(now)
 			c.counts.Starts++
 		}
 	case errors.Is(err, ErrUnwanted):
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -99,7 +99,7 @@
 			continue
 		}
 		w := c.pickUnlessMissed(t, misses, now)
-		if w == nil && (c.apart(t, now) || c.yieldsInStep(t)) {
+		if w == nil && !t.mustRunAgain(now) && (c.apart(t, now) || c.yieldsInStep(t)) {
 			continue // there may be room beside others, or for others
 		}
 		if w == nil {
@@ -187,7 +187,7 @@
 	unshared
 	// ordinary workers are all other sound ones.
 	ordinary
-	// doubtful workers failed lately, are slow, or failed this task.
+	// doubtful workers failed lately, are slow, failed this task, or are kept for a run that runs apart.
 	doubtful
 	preferences
 )
@@ -200,7 +200,7 @@
 	room := c.room(w, now)
 	serves := t.stage.Serves()
 	switch {
-	case w.health.doubtful(now) || len(t.failedOn) > 0 && slices.Contains(t.failedOn, w.life()):
+	case w.health.doubtful(now) || w.runsApart(now) || len(t.failedOn) > 0 && slices.Contains(t.failedOn, w.life()):
 		return doubtful
 	case c.policy.Blame.Isolates(t.crashes) && (w.lastingRuns() || !w.steady(now)):
 		return doubtful
