Room that is kept in vain doesn't hold back interrupted tasks

A worker was kept, 4 s at a time and time and again, for a lasting task that never came to have room there, and another lasting task that was interrupted later and had room there waited for as long.

Cause: the one that waited longest goes first, with no bound. Ruled out: to keep no worker a second time, which takes the room from a task that only needs some seconds more.

A task that may not be held back any more takes room that is kept for another.

TestInterruptedTaskTakesRoomThatIsKeptInVain: not within 27 s before, 7 s now. The tests of kept room are green, unchanged.

--- a/internal/workflow/planner/lastingwaits_test.go
+++ b/internal/workflow/planner/lastingwaits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+
 	"slices"
 	"testing"
 
@@ -109,3 +110,26 @@
 	require.Less(t, down, startWithin)
 	require.Empty(t, w.runner.Violations())
 }
+
+// TestInterruptedTaskTakesRoomThatIsKeptInVain: a worker was kept time and again for a lasting task that
+// never had room there, and another one that was interrupted later and had room there waited for as long.
+func TestInterruptedTaskTakesRoomThatIsKeptInVain(t *testing.T) {
+	w := newSpreadWorld(t)
+	w.submit("lasting", "Urgent", lasting(3, 1, 5300))
+	w.play(cottonlanding.Second)
+	w.submit("slow", "Urgent", short(2000))
+	w.play(cottonlanding.Second)
+	require.Equal(t, 4, w.runner.Running())
+	w.join()
+	w.submit("large", "Urgent", lasting(1, 0, 7000))
+	w.play(cottonlanding.Second)
+	w.join()
+	w.submit("least", "Urgent", lasting(1, 0, 3000))
+	w.play(cottonlanding.Second)
+	require.Equal(t, 5, w.runner.Lasting())
+	w.leave(4)
+	w.play(keptSoon)
+	w.workers[5].State = cottonlanding.Leaving
+	w.relist()
+	require.Less(t, w.downFor("least", 1, func() {}), startWithin, "the room is kept for a task that doesn't fit there")
+}
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -159,9 +159,9 @@
 }
 
 // keptFrom reports whether the worker's room is kept from a task: from all but the
-// one for which it is kept and those that go before that one.
+// one for which it is kept, those that go before that one, and those that can't wait any more.
 func (w *worker) keptFrom(t *task, now cottonlanding.Millis) bool {
-	if t.stage.Fills || w.keptFor == t || !w.kept(now) {
+	if t.stage.Fills || w.keptFor == t || !w.kept(now) || t.mustRunAgain(now) {
 		return false
 	}
 	return compareTurns(t, w.keptFor, now) >= 0
