The claim of a lost task counts from its last run

A lasting task that was lost with a silent worker was down for 12 s among short tasks that left room for two of it in sum, on no single worker.

Cause: the 5 s after which a worker is kept for it counted from when its run was given up, 6.3 s after it was last seen, and anew after each start that was refused or taken back. Ruled out: a shorter wait for all, which costs short tasks.

They count from when the run was last seen at work.

--- a/internal/workflow/planner/lastingwaits_test.go
+++ b/internal/workflow/planner/lastingwaits_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-
+	"fmt"
 	"slices"
 	"testing"
 
@@ -133,3 +133,42 @@
 	w.relist()
 	require.Less(t, w.downFor("least", 1, func() {}), startWithin, "the room is kept for a task that doesn't fit there")
 }
+
+// streamed returns a function that hands in a workflow of nine short tasks, which take up to 1.6 s, every so many turns.
+func (w *world) streamed(turns int) func() {
+	step := short(2000)
+	step.Tasks = 9
+	turn := 0
+	return func() {
+		if turn++; turn%turns == 0 {
+			w.submit(cottonlanding.WorkflowID(fmt.Sprintf("b%d", turn)), "Urgent", step)
+		}
+	}
+}
+
+// playBeside lets turns pass with something happening in each.
+func (w *world) playBeside(span cottonlanding.Millis, meanwhile func()) {
+	for end := w.now + span; w.now < end; {
+		w.turn(turnSpan)
+		meanwhile()
+	}
+}
+
+// TestLostTaskKeepsAWorkerInTime: of a task that was lost with a silent worker, the time until a worker was kept for it
+// counted from when its lease had run out, so that it was down for over 11 s among short tasks that left room for two of it.
+func TestLostTaskKeepsAWorkerInTime(t *testing.T) {
+	w := newSpreadWorld(t)
+	for range 5 {
+		w.addWorker()
+	}
+	w.relist()
+	w.play(cottonlanding.Second)
+	w.submit("lasting", "Urgent", lasting(1, 0, 7000))
+	w.play(cottonlanding.Second)
+	at := slices.IndexFunc(w.workers, func(info cottonlanding.WorkerInfo) bool { return w.runner.RunsOn(info.ID) > 0 })
+	stream := w.streamed(7)
+	w.playBeside(3*cottonlanding.Second, stream)
+	w.runner.Crash(w.workers[at].ID)
+	require.Less(t, w.downFor("lasting", 1, stream), startWithin)
+	require.Empty(t, w.runner.Violations())
+}
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -82,11 +82,11 @@
 	c.log.Info("capacity reserved", "Task", t.ref.String(), "Worker", best.info.ID, "Waited", now-t.since, "Free", int64(c.room(best, now).free.CPU))
 }
 
-// waitsLong reports whether a lasting task has waited for so long that a worker is
+// waitsLong reports whether a lasting task has waited, or was down, for so long that a worker is
 // kept for it.
 func (t *task) waitsLong(now cottonlanding.Millis) bool {
 	waits := t.state == taskWaiting && !t.job.state.Final()
-	return waits && t.stage.Lasting && !t.stage.Fills && now-t.since >= keepAfter
+	return waits && t.stage.Lasting && !t.stage.Fills && now-t.downSince() >= keepAfter
 }
 
 // claim is how strong a claim on room a task has.
