--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -104,6 +104,8 @@
 	since cottonlanding.Millis
 	// downtime is set while a lasting task that was placed before isn't known to run.
 	downtime *downtime
+	// seenAt is when a run of the task was last known to be at work, zero if none was.
+	seenAt cottonlanding.Millis
 	// failedOn lists the lives of workers that failed it or on which it stood still.
 	failedOn []cottonlanding.Life
 	// roomUntil is how long the task waits for room that is being made.
--- /dev/null
+++ b/internal/workflow/planner/lastingwaits_test.go
@@ -0,0 +1,174 @@
+package planner_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// fewLossesLeft is as many losses as a task has that is given up at the next one.
+const fewLossesLeft = 4
+
+// seenOnce is how long the runs of suspects go on here before something happens: too short for them to have
+// outlived a crash.
+const seenOnce = 150 * cottonlanding.Millis(1)
+
+// silenceEvery is after how many turns another worker falls silent, so that there always is one that just has.
+const silenceEvery = 15
+
+// setLosses has the first task of a workflow be a suspect, for another owner.
+func (w *world) setLosses(id cottonlanding.WorkflowID, losses int) {
+	key := planner.StateKey(partition, id)
+	row := w.rows[key]
+	var state map[string]json.RawMessage
+	require.NoError(w.t, json.Unmarshal(row.Value, &state))
+	var tasks []planner.TaskRow
+	require.NoError(w.t, json.Unmarshal(state["Tasks"], &tasks))
+	tasks[0].Losses = losses
+	data, err := json.Marshal(tasks)
+	require.NoError(w.t, err)
+	state["Tasks"] = data
+	row.Value, err = json.Marshal(state)
+	require.NoError(w.t, err)
+	w.rows[key] = row
+	w.takeOver()
+}
+
+// suspectWorld is a cell of many workers, one of which has just begun a lasting task that is given up at the next loss.
+func suspectWorld(t require.TestingT) (w *world, at int) {
+	w = newSpreadWorld(t)
+	for range 20 {
+		w.addWorker()
+	}
+	w.relist()
+	w.play(cottonlanding.Second)
+	w.submit("lasting", "Urgent", lasting(1, 0, 6000))
+	w.commit()
+	w.setLosses("lasting", fewLossesLeft)
+	w.lookAll()
+	w.playUntilStarted()
+	w.play(seenOnce)
+	at = slices.IndexFunc(w.workers, func(info cottonlanding.WorkerInfo) bool { return w.runner.RunsOn(info.ID) > 0 })
+	require.GreaterOrEqual(t, at, 0)
+	return w, at
+}
+
+// downFor lets turns pass, with something happening in each, until all tasks of a workflow run, or much longer than they
+// may be down. It returns how long that took.
+func (w *world) downFor(id cottonlanding.WorkflowID, tasks int, meanwhile func()) cottonlanding.Millis {
+	since := w.now
+	for w.now-since < 3*startWithin {
+		w.turn(turnSpan)
+		meanwhile()
+		if w.runsAll(id, tasks) {
+			break
+		}
+	}
+	return w.now - since
+}
+
+// TestLastSuspectRunsAgainInTime: a lasting task that is given up at the next loss waited for news of its last worker
+// for 15 s from when its lease had run out, beside workers that had room: it was down for three times as long as it may be.
+func TestLastSuspectRunsAgainInTime(t *testing.T) {
+	w, at := suspectWorld(t)
+	w.runner.Dark(w.workers[at].ID, true)
+	for w.runner.Lasting() > 0 {
+		w.turn(turnSpan) // its lease runs out
+	}
+	down := w.downFor("lasting", 1, func() {})
+	require.Less(t, down, startWithin-timing.Lease, "the lease has run out before")
+	require.Empty(t, w.runner.Violations())
+}
+
+// TestSuspectRunsAgainInTimeAmongSilences: the same task waited for 15 s for an instant at which no worker had
+// just fallen silent.
+func TestSuspectRunsAgainInTimeAmongSilences(t *testing.T) {
+	w, at := suspectWorld(t)
+	next := 0
+	silence := func() {
+		if next == at {
+			next++
+		}
+		w.runner.Dark(w.workers[next].ID, true)
+		next++
+	}
+	silence()
+	w.workers[at].State = cottonlanding.Leaving
+	w.relist()
+	turns := 0
+	down := w.downFor("lasting", 1, func() {
+		if turns++; turns%silenceEvery == 0 && next < len(w.workers)-1 {
+			silence()
+		}
+	})
+	require.Less(t, down, startWithin)
+	require.Empty(t, w.runner.Violations())
+}
+
+// TestInterruptedTaskTakesRoomThatIsKeptInVain: a worker was kept time and again for a lasting task that
+// never had room there, and another one that was interrupted later and had room there waited for as long.
+func TestInterruptedTaskTakesRoomThatIsKeptInVain(t *testing.T) {
+	w := newSpreadWorld(t)
+	w.submit("lasting", "Urgent", lasting(3, 1, 5300))
+	w.play(cottonlanding.Second)
+	w.submit("slow", "Urgent", short(2000))
+	w.play(cottonlanding.Second)
+	require.Equal(t, 4, w.runner.Running())
+	w.join()
+	w.submit("large", "Urgent", lasting(1, 0, 7000))
+	w.play(cottonlanding.Second)
+	w.join()
+	w.submit("least", "Urgent", lasting(1, 0, 3000))
+	w.play(cottonlanding.Second)
+	require.Equal(t, 5, w.runner.Lasting())
+	w.leave(4)
+	w.play(keptSoon)
+	w.workers[5].State = cottonlanding.Leaving
+	w.relist()
+	require.Less(t, w.downFor("least", 1, func() {}), startWithin, "the room is kept for a task that doesn't fit there")
+}
+
+// streamed returns a function that hands in a workflow of nine short tasks, which take up to 1.6 s, every so many turns.
+func (w *world) streamed(turns int) func() {
+	step := short(2000)
+	step.Tasks = 9
+	turn := 0
+	return func() {
+		if turn++; turn%turns == 0 {
+			w.submit(cottonlanding.WorkflowID(fmt.Sprintf("b%d", turn)), "Urgent", step)
+		}
+	}
+}
+
+// playBeside lets turns pass with something happening in each.
+func (w *world) playBeside(span cottonlanding.Millis, meanwhile func()) {
+	for end := w.now + span; w.now < end; {
+		w.turn(turnSpan)
+		meanwhile()
+	}
+}
+
+// TestLostTaskKeepsAWorkerInTime: of a task that was lost with a silent worker, the time until a worker was kept for it
+// counted from when its lease had run out, so that it was down for over 11 s among short tasks that left room for two of it.
+func TestLostTaskKeepsAWorkerInTime(t *testing.T) {
+	w := newSpreadWorld(t)
+	for range 5 {
+		w.addWorker()
+	}
+	w.relist()
+	w.play(cottonlanding.Second)
+	w.submit("lasting", "Urgent", lasting(1, 0, 7000))
+	w.play(cottonlanding.Second)
+	at := slices.IndexFunc(w.workers, func(info cottonlanding.WorkerInfo) bool { return w.runner.RunsOn(info.ID) > 0 })
+	stream := w.streamed(7)
+	w.playBeside(3*cottonlanding.Second, stream)
+	w.runner.Crash(w.workers[at].ID)
+	require.Less(t, w.downFor("lasting", 1, stream), startWithin)
+	require.Empty(t, w.runner.Violations())
+}
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -82,11 +82,11 @@
 	c.log.Info("capacity reserved", "Task", t.ref.String(), "Worker", best.info.ID, "Waited", now-t.since, "Free", int64(c.room(best, now).free.CPU))
 }
 
-// waitsLong reports whether a lasting task has waited for so long that a worker is
+// waitsLong reports whether a lasting task has waited, or was down, for so long that a worker is
 // kept for it.
 func (t *task) waitsLong(now cottonlanding.Millis) bool {
 	waits := t.state == taskWaiting && !t.job.state.Final()
-	return waits && t.stage.Lasting && !t.stage.Fills && now-t.since >= keepAfter
+	return waits && t.stage.Lasting && !t.stage.Fills && now-t.downSince() >= keepAfter
 }
 
 // claim is how strong a claim on room a task has.
@@ -159,9 +159,9 @@
 }
 
 // keptFrom reports whether the worker's room is kept from a task: from all but the
-// one for which it is kept and those that go before that one.
+// one for which it is kept, those that go before that one, and those that can't wait any more.
 func (w *worker) keptFrom(t *task, now cottonlanding.Millis) bool {
-	if t.stage.Fills || w.keptFor == t || !w.kept(now) {
+	if t.stage.Fills || w.keptFor == t || !w.kept(now) || t.mustRunAgain(now) {
 		return false
 	}
 	return compareTurns(t, w.keptFor, now) >= 0
