Stand-in for workers: when a task's last run ended, and what runs where

A check that a lasting task runs again in time needs both as they really are, not as an owner believes them: RunsByWorker and EndedAt. TestEndsAreDated holds the three ways in which a run ends without its owner.

--- a/internal/stand/runner/crashes.go
+++ b/internal/stand/runner/crashes.go
@@ -30,6 +30,7 @@
 	r.advance(w)
 	for key := range w.runs {
 		r.endsUnder[key.Task]++
+		r.recordEndedAt(key.Task, r.clock.Now())
 	}
 	delete(r.workers, id)
 }
@@ -70,6 +71,7 @@
 		}
 		for other := range w.runs {
 			r.endsUnder[other.Task]++
+			r.recordEndedAt(other.Task, now)
 		}
 		delete(r.workers, w.id)
 		clear(w.runs)
--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -36,7 +36,9 @@
 	after   map[cottonlanding.TaskRef]int
 	// endsUnder counts for each task the lives that ended while they ran it.
 	endsUnder map[cottonlanding.TaskRef]int
-	notes     notes
+	// endedAt is when the last run of each task ended.
+	endedAt map[cottonlanding.TaskRef]cottonlanding.Millis
+	notes   notes
 
 	checkpoints checkpoints
 	// longestLease cuts the leases that workers take, unless it is zero.
@@ -71,6 +73,7 @@
 		after:   make(map[cottonlanding.TaskRef]int),
 
 		endsUnder: make(map[cottonlanding.TaskRef]int),
+		endedAt:   make(map[cottonlanding.TaskRef]cottonlanding.Millis),
 
 		notes: newNotes(),
 
@@ -239,6 +242,7 @@
 		worked = min(worked, cottonlanding.Millis(w.lease)-w.offset)
 	}
 	text := r.checkpointOf(key, w.runs[key], worked, kind == cottonlanding.EndStopped)
+	r.recordEndedAt(key.Task, worked)
 	delete(w.runs, key)
 	w.serial++
 	w.ruled[key.Task] = max(w.ruled[key.Task], key.Number)
