--- a/internal/workflow/planner/export_test.go
+++ b/internal/workflow/planner/export_test.go
@@ -75,3 +75,53 @@
 
 // OpenLives counts the workers of which the cell waits for news.
 func (c *Cell) OpenLives() int { return len(c.open) }
+
+// DescribeTask tells where a task stands, and what keeps it from each worker.
+func (c *Cell) DescribeTask(ref cottonlanding.TaskRef, now cottonlanding.Millis) string {
+	j := c.jobs[ref.Workflow]
+	if j == nil {
+		return "not known"
+	}
+	t := j.task(ref)
+	var out strings.Builder
+	fmt.Fprintf(&out, "job %s, task state %q, number %d, waits since %d, crashes %v, open life %s, awaits news %t",
+		j.state, t.state, t.number, t.since, t.crashes, t.openLife.String(), t.awaitsNews(now))
+	if r := t.run; r != nil {
+		w := r.worker
+		fmt.Fprintf(&out, ", run %d on %s born %d: phase %d, doubtful %t, ordered %t, next try %d, sent %d, copies %d, stopping %t (%s), "+
+			"stop taken %d; its worker listed %t, answered %d, failed %t, bound %d, asked %t, state %s",
+			r.Number, w.info.ID, r.born, r.phase, r.doubtful, r.ordered, r.nextTry, r.sentAt, r.unseenCopies, r.stopping, r.stopReason,
+			r.stopAcked, w.listed, w.answered, w.failed, w.bound, w.asked, w.info.State)
+	}
+	if t.state == taskWaiting {
+		for _, w := range c.sortedWorkers() {
+			fmt.Fprintf(&out, "\n  %s: %s", w.info.ID, c.describeGate(t, w, now))
+		}
+	}
+	return out.String()
+}
+
+// describeGate names the first gate that keeps a task from a worker.
+func (c *Cell) describeGate(t *task, w *worker, now cottonlanding.Millis) string {
+	room := c.room(w, now)
+	switch {
+	case !w.usable(now):
+		return fmt.Sprintf("unusable: listed %t, described %t, cordoned %t, reachable %t, blocked until %d",
+			w.listed, w.described(), w.cordoned(), w.reachable(now), w.blockedUntil)
+	case !c.allowed(t, w, now):
+		return "barred"
+	case !t.stage.Reserved().Fits(room.free):
+		runs := make([]string, 0, w.runs.size())
+		for _, r := range w.runs.all() {
+			runs = append(runs, fmt.Sprintf("%s#%d phase %d stopping %t cpu %d", r.Task, r.Number, r.phase, r.stopping, r.step.Resources.CPU))
+		}
+		return fmt.Sprintf("full: free %d, runs %v", room.free.CPU, runs)
+	case w.keptFrom(t, now):
+		return "kept for " + w.keptFor.ref.String()
+	case c.keptApart(t, w, now):
+		return "kept apart"
+	case c.isDue(t, w, now):
+		return "due to others"
+	}
+	return "free"
+}
