A lasting task that is lost together with its owner runs again in time

What callers saw: a lasting task whose worker and owner are lost at the same instant is down for 9.45 s and longer, though there is room for it; 9 s are allowed (LOST).

Cause: an owner that has lost the table renews leases for two seconds more, each for six. Its successor counts on the whole of that. A worker that is silent to one new owner after the other stays tied to its tasks until its bound is written, which took a second.

Ruled out: a shorter grace or lease. Workers would lose their leases in shorter outages.

Change: leases last for seven seconds at most after the owner surely owned the cell: 8.2 s from its last beat, where 8.4 to 9.2 were possible. An owner writes down when the leases of all owners before it have ended; its successor goes by that and by the seven seconds if it finds that the very owner before has written so, and by the old reckoning otherwise. The bound of a worker that has never answered an owner is written with its first look that fails, others' with the second.

Without the new bound of leases TestCutOffOwnerKeepsToItsTail is red (tasks run twice).

Why it holds: leases are granted in one place, which takes the bound; who reckons with it has read in the cell's own partition, behind its fence, that the owner before did as well.

--- a/internal/workflow/driver/attendant.go
+++ b/internal/workflow/driver/attendant.go
@@ -92,6 +92,7 @@
 	if !d.mayRenew(now) {
 		return planner.NextLook{After: tick}, true
 	}
+	d.cell.SetOwnedUntil(d.deps.ValidUntil())
 	return d.cell.NextLook(id, now)
 }
 
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -281,6 +281,7 @@
 	d.mu.Lock()
 	d.refresh(now)
 	d.readTableClock(d.cell)
+	d.cell.SetOwnedUntil(d.deps.ValidUntil())
 	d.cell.Decide(now, time.Now().UnixMilli())
 	d.handOver(now)
 	d.delegate(now)
--- a/internal/workflow/driver/sender.go
+++ b/internal/workflow/driver/sender.go
@@ -38,6 +38,7 @@
 	}
 	d.refresh(now)
 	d.holdStarts()
+	d.cell.SetOwnedUntil(d.deps.ValidUntil())
 	for _, order := range d.cell.Orders(now) {
 		if at, first := d.outbox.add(order); first {
 			d.work.Go(func() { d.sendAll(at) })
--- a/internal/workflow/gateway/seat.go
+++ b/internal/workflow/gateway/seat.go
@@ -99,7 +99,8 @@
 		Partition: s.partition,
 		Epoch:     view.Owner.Epoch,
 		// The owner before renewed leases until it had lost the table for a while.
-		BeforeUntil: view.BeforeUntil + s.gateway.settings.Planner.CutOffGrace,
+		BeforeUntil:      view.BeforeUntil + s.gateway.settings.Planner.CutOffGrace,
+		BeforeOwnedUntil: view.BeforeUntil,
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/workflow/gateway/timing.go
+++ b/internal/workflow/gateway/timing.go
@@ -43,6 +43,10 @@
 	// cutOffGrace is how long an owner that lost the store keeps renewing leases.
 	// With a lease it covers outages of nine seconds, the longest that were seen.
 	cutOffGrace = 2 * cottonlanding.Second
+	// leaseTail is by how much more than a lease the leases of an owner last after it surely owned its cell: with
+	// the time to live they outlast an outage of eight seconds, and a lasting task that is lost together with its
+	// owner runs again within nine.
+	leaseTail = cottonlanding.Second
 	// longestLease bounds leases below what workers grant: a worker that is gone for
 	// good, and its owner with it, must be given up within ten seconds or so.
 	longestLease = 6 * cottonlanding.Second
@@ -134,6 +138,7 @@
 		Lease:        min(lease, longestLease),
 		LongestLease: lease,
 		CutOffGrace:  cutOffGrace,
+		LeaseTail:    min(lease, longestLease) + leaseTail,
 		StopTimeout:  stopTimeout,
 		Retention:    retention,
 	}
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -24,6 +24,8 @@
 	LongestLease cottonlanding.Millis
 	// CutOffGrace is how long an owner that lost the table keeps renewing leases.
 	CutOffGrace cottonlanding.Millis
+	// LeaseTail is for how long after its owner surely owns the cell a lease lasts at most; zero is no bound.
+	LeaseTail cottonlanding.Millis
 	// StopTimeout is how long a worker takes at most to stop a run.
 	StopTimeout cottonlanding.Millis
 	// Retention is how long a final workflow is kept.
@@ -40,6 +42,9 @@
 	Guard cottonlanding.Check
 	// BeforeUntil is the instant by which all owners before had stopped to renew leases.
 	BeforeUntil cottonlanding.Millis
+	// BeforeOwnedUntil is the instant until which the very owner before surely owned the cell at most; zero if
+	// that isn't known.
+	BeforeOwnedUntil cottonlanding.Millis
 }
 
 // Cell holds all workflows, their tasks and the workers of one partition.
--- a/internal/workflow/planner/leasebounds.go
+++ b/internal/workflow/planner/leasebounds.go
@@ -14,6 +14,9 @@
 // anew that were lost with the worker. So an owner writes the bounds of silent workers down, by the
 // table's clock.
 //
+// The leases of an owner last for LeaseTail after it surely owned the cell at most, so that the next
+// one needn't count on a whole lease from the last renewal of one that was cut off.
+//
 // While a bound stands, the worker is granted no lease: an owner that hears from the worker first
 // takes the bound off. Owners of older code don't know of the row, so that only what the very owner
 // before has written is used: each owner writes what it goes on to hold anew.
@@ -21,7 +24,7 @@
 const (
 	// boundAfter is how long a worker is silent before its bound is written: a look that fails once
 	// costs no writes, and holds up no renewal.
-	boundAfter = cottonlanding.Second
+	boundAfter = retryPause
 	// mostBounds is how many bounds are written at most. Later owners wait for the others' whole leases.
 	mostBounds = 400
 	// mostBoundBytes bounds the row.
@@ -36,7 +39,10 @@
 	Epoch cottonlanding.Epoch
 	// Written is what the table's clock showed at least.
 	Written cottonlanding.TableInstant
-	Until   map[cottonlanding.WorkerID]cottonlanding.TableInstant
+	// Older is when the leases of all owners before that one have ended, zero if its own may last for longer than
+	// LeaseTail.
+	Older cottonlanding.TableInstant `json:",omitempty"`
+	Until map[cottonlanding.WorkerID]cottonlanding.TableInstant
 }
 
 // leaseBounds are the bounds that are written.
@@ -49,6 +55,9 @@
 	// version is that of the row, epoch that of the owner which wrote it.
 	version cottonlanding.Version
 	epoch   cottonlanding.Epoch
+	// older is when the leases of all owners before have ended, zero if nothing better is known than BeforeUntil
+	// tells. ownedUntil is until when this owner surely owns the cell, zero if it wasn't told.
+	older, ownedUntil cottonlanding.Millis
 	// unread says that what the row holds isn't known here, so that it may be any worker's bound.
 	unread bool
 }
@@ -59,6 +68,37 @@
 // SetTableClock takes in the newest reading of the table's clock. Without any, no bounds are written or read.
 func (c *Cell) SetTableClock(reading cottonlanding.TableReading) { c.bounds.clock = &reading }
 
+// SetOwnedUntil takes in until when the owner surely owns the cell. Its leases last for LeaseTail longer at most.
+func (c *Cell) SetOwnedUntil(until cottonlanding.Millis) {
+	if until > 0 {
+		c.bounds.ownedUntil = until
+	}
+}
+
+// capsLeases reports whether leases are bounded by until when the owner surely owns the cell.
+func (c *Cell) capsLeases() bool { return c.bounds.ownedUntil > 0 && c.timing.LeaseTail > 0 }
+
+// leaseSpan returns how long after the last reading of a worker's clock a lease lasts that is granted now.
+func (c *Cell) leaseSpan(w *worker, now cottonlanding.Millis) cottonlanding.Millis {
+	span := now - w.readAt + c.timing.Lease
+	if !c.capsLeases() {
+		return span
+	}
+	return min(span, c.bounds.ownedUntil+c.timing.LeaseTail-w.readAt)
+}
+
+// longestSpan is how long before its end the clock of a worker was read at most by which a lease is reckoned.
+func (t Timing) longestSpan() cottonlanding.Millis { return t.Lease + reachableWithin }
+
+// ownersBound returns the instant by which the leases of all owners before have ended.
+func (c *Cell) ownersBound() cottonlanding.Millis {
+	bound := c.setup.BeforeUntil + stretched(c.timing.Lease)
+	if c.bounds.older > 0 {
+		return min(bound, c.bounds.older)
+	}
+	return bound
+}
+
 // LoadLeaseBounds takes in the bounds that an owner before has written. It comes after all other rows. A row that
 // can't be read or used is written anew before any lease is granted.
 func (c *Cell) LoadLeaseBounds(row cottonlanding.Row, now cottonlanding.Millis) error {
@@ -74,7 +114,9 @@
 		return nil
 	}
 	c.bounds.kept, c.bounds.epoch = written.Until, written.Epoch
+	c.inheritOlder(written)
 	for _, w := range c.sortedWorkers() {
+		w.bound = min(w.bound, max(now, c.ownersBound()))
 		c.inheritBound(w, now)
 	}
 	return nil
@@ -86,6 +128,15 @@
 	return c.bounds.clock != nil && written.Epoch+1 == c.setup.Epoch && c.bounds.clock.Latest(now) >= written.Written
 }
 
+// inheritOlder works out when the leases of all owners before have ended, from what the last of them has written.
+func (c *Cell) inheritOlder(written boundsRow) {
+	if written.Older == 0 || c.setup.BeforeOwnedUntil == 0 {
+		return
+	}
+	itsOwn := c.setup.BeforeOwnedUntil + c.timing.LeaseTail + c.timing.longestSpan()/driftDivisor + leaseMargin
+	c.bounds.older = max(itsOwn, c.bounds.clock.Until(written.Older))
+}
+
 // inheritBound takes over the bound that is written of a worker.
 func (c *Cell) inheritBound(w *worker, now cottonlanding.Millis) {
 	shown, found := c.bounds.kept[w.info.ID]
@@ -110,7 +161,7 @@
 	if !w.listed && w.answered == 0 {
 		return true
 	}
-	return w.failed && now-w.failedSince >= boundAfter
+	return w.failed && (w.answered == 0 || now-w.failedSince >= boundAfter)
 }
 
 // boundsWanted returns the bounds that should be written.
@@ -141,7 +192,8 @@
 // boundsDue returns the bounds to write, and whether they differ from what is written.
 func (c *Cell) boundsDue(now cottonlanding.Millis) (map[cottonlanding.WorkerID]cottonlanding.TableInstant, bool) {
 	wanted := c.boundsWanted(now)
-	isAnothers := len(c.bounds.kept) > 0 && c.bounds.epoch != c.setup.Epoch
+	hasRow := c.bounds.clock != nil || len(c.bounds.kept) > 0
+	isAnothers := hasRow && c.bounds.epoch != c.setup.Epoch
 	return wanted, c.bounds.unread || isAnothers || !maps.Equal(wanted, c.bounds.kept)
 }
 
@@ -155,6 +207,9 @@
 	row := boundsRow{Epoch: c.setup.Epoch, Until: wanted}
 	if c.bounds.clock != nil {
 		row.Written = c.bounds.clock.Shown
+		if c.capsLeases() {
+			row.Older = c.bounds.clock.Latest(c.ownersBound())
+		}
 	}
 	plan.add(cottonlanding.Write{Key: LeaseBoundsKey(c.setup.Partition), Expect: c.bounds.version, Value: encode(row), Unchecked: true})
 	c.log.Info("lease bounds written", "Workers", len(wanted), "Before", len(c.bounds.kept))
@@ -162,5 +217,6 @@
 
 // recordBounds takes in that the planned bounds are written.
 func (c *Cell) recordBounds(version cottonlanding.Version) {
-	c.bounds = leaseBounds{clock: c.bounds.clock, kept: c.bounds.planned, version: version, epoch: c.setup.Epoch}
+	c.bounds.kept, c.bounds.planned, c.bounds.unread = c.bounds.planned, nil, false
+	c.bounds.version, c.bounds.epoch = version, c.setup.Epoch
 }
--- a/internal/workflow/planner/leasebounds_test.go
+++ b/internal/workflow/planner/leasebounds_test.go
@@ -12,9 +12,22 @@
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
-// ownerSeenGone is how long after its last beat an owner surely renews nothing any more: its time to live
-// and the grace of one that has lost the table.
-const ownerSeenGone = 3200 * cottonlanding.Millis(1)
+const (
+	// ownerTimeToLive is how long an owner surely owns its cell after a beat, as in service.
+	ownerTimeToLive = 1200 * cottonlanding.Millis(1)
+	// ownerSeenGone is how long after its last beat an owner surely renews nothing any more: its time to live
+	// and the grace of one that has lost the table.
+	ownerSeenGone = ownerTimeToLive + 2*cottonlanding.Second
+)
+
+// newOwnedWorld returns a world with the spans of service whose owners know until when they own the cell.
+func newOwnedWorld(t require.TestingT) *world {
+	w := newSpreadWorld(t)
+	w.timing.CutOffGrace, w.timing.LeaseTail = ownerSeenGone-ownerTimeToLive, w.timing.Lease+cottonlanding.Second
+	w.ownedFor = ownerTimeToLive
+	w.takeOver()
+	return w
+}
 
 // lose crashes a worker for good. Its entry goes some seconds later.
 func (w *world) lose(id cottonlanding.WorkerID) { w.runner.Crash(id) }
@@ -29,7 +42,7 @@
 // distance, and returns how long after the loss all run again.
 func playLost(t require.TestingT, first, every cottonlanding.Millis, changes int) cottonlanding.Millis {
 	const step, unlisted = 50 * cottonlanding.Millis(1), 4500 * cottonlanding.Millis(1)
-	w := newSpreadWorld(t)
+	w := newOwnedWorld(t)
 	w.play(cottonlanding.Second)
 	w.submit("lasts", "Urgent", cottonlanding.Step{Tasks: 4, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}})
 	w.play(4 * cottonlanding.Second)
@@ -77,7 +90,7 @@
 // was granted meanwhile would let its runs go on beside those that the next owner starts.
 func TestNoLeaseBeyondAWrittenBound(t *testing.T) {
 	for back := cottonlanding.Second; back < 5*cottonlanding.Second; back += 500 {
-		w := newSpreadWorld(t)
+		w := newOwnedWorld(t)
 		w.play(cottonlanding.Second)
 		w.submit("lasts", "Urgent", cottonlanding.Step{Tasks: 4, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}})
 		w.play(2 * cottonlanding.Second)
@@ -98,7 +111,7 @@
 // lease still lasted.
 func TestWrittenBoundsHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newSpreadWorld(t)
+		w := newOwnedWorld(t)
 		w.play(cottonlanding.Second)
 		w.submit("lasts", "Urgent", cottonlanding.Step{Tasks: 6, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}})
 		w.play(2 * cottonlanding.Second)
@@ -139,7 +152,7 @@
 // TestBoundsOfOlderOwnersAreNotUsed: an owner of older code grants leases beside bounds that it doesn't know of. What the
 // owner before that one has written says nothing of them.
 func TestBoundsOfOlderOwnersAreNotUsed(t *testing.T) {
-	w := newSpreadWorld(t)
+	w := newOwnedWorld(t)
 	w.play(cottonlanding.Second)
 	w.submit("lasts", "Urgent", cottonlanding.Step{Tasks: 4, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}})
 	w.play(2 * cottonlanding.Second)
@@ -160,3 +173,33 @@
 		require.Empty(t, w.runner.Violations())
 	}
 }
+
+// TestTaskLostWithItsOwnerRunsAgain: a lasting task whose worker and owner are lost at the same instant stayed down for longer than
+// its users' rule allows, since a cut-off owner might have renewed the lease for long.
+func TestTaskLostWithItsOwnerRunsAgain(t *testing.T) {
+	require.LessOrEqual(t, playLost(t, 0, 0, 1), runsAgainWithin)
+}
+
+// TestCutOffOwnerKeepsToItsTail: an owner that is cut off renews leases on its workers, which its successor can't reach, for no longer
+// than the successor counts on.
+func TestCutOffOwnerKeepsToItsTail(t *testing.T) {
+	w := newOwnedWorld(t)
+	w.play(cottonlanding.Second)
+	w.submit("lasts", "Urgent", cottonlanding.Step{Tasks: 4, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}})
+	w.play(2 * cottonlanding.Second)
+	lastBeat := w.now
+	for w.now < lastBeat+ownerSeenGone {
+		w.now += turnSpan
+		w.orders(func() string { return "" })
+		w.lookAll()
+	}
+	for _, info := range w.workers[:2] {
+		w.runner.Dark(info.ID, true)
+	}
+	w.takeOverFrom(lastBeat + ownerSeenGone)
+	for range 200 {
+		w.turn(turnSpan)
+		require.Empty(t, w.runner.Violations())
+	}
+	require.Equal(t, 4, w.runner.Lasting())
+}
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -13,7 +13,7 @@
 	if !w.reachable(now) || c.bounds.has(w.info.ID) {
 		return w.granted
 	}
-	span := now - w.readAt + c.timing.Lease
+	span := c.leaseSpan(w, now)
 	w.bound = max(w.bound, w.readAt+stretched(span))
 	w.granted = max(w.granted, w.reading+cottonlanding.Reading(span))
 	return w.granted
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -203,7 +203,7 @@
 
 func (c *Cell) addWorker(info cottonlanding.WorkerInfo, now cottonlanding.Millis) *worker {
 	w := &worker{info: info, runs: newRunSet(), knownSince: now}
-	w.bound = max(now, c.setup.BeforeUntil+stretched(c.timing.Lease))
+	w.bound = max(now, c.ownersBound())
 	c.inheritBound(w, now)
 	c.recordCordon(w)
 	_, w.placeSilent = c.silentSince[info.DataCentre]
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -76,6 +76,8 @@
 	started func(planner.Order)
 	// texts has workers list checkpoints and watches what starts bring, unless it is nil.
 	texts *textBook
+	// ownedFor is for how long owners surely own the cell after each turn; zero doesn't tell them.
+	ownedFor cottonlanding.Millis
 }
 
 func newWorld(t require.TestingT) *world { return newWorldOf(t, selector.Default().Planner) }
@@ -151,7 +153,12 @@
 	}
 	w.epoch++
 	w.plan = nil
-	w.cell = planner.New(planner.Setup{Partition: partition, Epoch: w.epoch, BeforeUntil: before}, w.timing, w.policy, w.log)
+	setup := planner.Setup{Partition: partition, Epoch: w.epoch, BeforeUntil: before}
+	if w.ownedFor > 0 {
+		setup.BeforeOwnedUntil = before - w.timing.CutOffGrace
+	}
+	w.cell = planner.New(setup, w.timing, w.policy, w.log)
+	w.tellOwned()
 	w.cell.SetQueues(w.queues)
 	w.cell.SetWorkers(slices.Clone(w.workers), w.now)
 	require.NoError(w.t, w.cell.Load(w.scan(planner.SpecKey(partition, "")), w.scan(planner.StateKey(partition, "")), w.now))
@@ -162,6 +169,13 @@
 	}
 }
 
+// tellOwned tells the owner until when it surely owns the cell.
+func (w *world) tellOwned() {
+	if w.ownedFor > 0 {
+		w.cell.SetOwnedUntil(w.now + w.ownedFor)
+	}
+}
+
 // tableClock reads the table's clock, which has another beginning.
 func (w *world) tableClock() cottonlanding.TableReading {
 	const ahead, callTime = 5_000_000, 4
@@ -188,6 +202,7 @@
 func (w *world) begin() {
 	if w.plan == nil {
 		w.cell.SetTableClock(w.tableClock())
+		w.tellOwned()
 		w.cell.Decide(w.now, int64(w.now))
 		w.plan = w.cell.Plan(w.now)
 	}
