Planner: each lasting task that is missed tells what holds it back

Seen by operators: `step waits` was told once for a step each four seconds, by its first task, and never for a task that is kept apart, which is passed over without a word for up to 15 s. Of a task that had a worker and didn't run there, nothing told why.

Change: a lasting task that was placed before and doesn't run is told by itself, a second after it began to wait and then each four seconds: `step waits` while it has no worker, `placed task doesn't run` with what is known of its start and its worker while it has one. At most 25 of these lines a second, those that were told longest ago first. `MayStart` is false for a guest whose keeper has not confirmed it lately.

--- a/internal/workflow/planner/downtime.go
+++ b/internal/workflow/planner/downtime.go
@@ -17,6 +17,8 @@
 	ranAt, since cottonlanding.Millis
 	// told says that it was logged: not before it's known that the task may have run, and runs no more.
 	told bool
+	// toldAt is when it was last logged what holds the task back.
+	toldAt cottonlanding.Millis
 }
 
 // downtimes holds the downtimes of a cell, and what of their beginnings and ends is to be logged.
@@ -24,6 +26,7 @@
 	open   []*downtime
 	downs  []downLine
 	starts []downLine
+	budget missedBudget
 }
 
 // unknownSpan is what the log shows for a span of which this owner doesn't know the beginning.
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -36,6 +36,7 @@
 	c.returnGuests(now)
 	c.prune(now)
 	c.logDowntimes()
+	c.logMissed(now)
 	c.logSummary(now)
 }
 
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -61,27 +61,40 @@
 	return count
 }
 
-// logWaiting logs why a task has no worker yet: how many were ruled out by what.
+// logWaiting logs why a step's tasks have no worker yet. Those that are missed are told one by one.
 func (c *Cell) logWaiting(t *task, now cottonlanding.Millis) {
-	if !t.tellsWaiting(now) {
-		return
+	if t.downtime == nil && t.tellsWaiting(now) {
+		c.logGates(t, now)
 	}
+}
+
+// logGates logs how many workers are ruled out for a task by what.
+func (c *Cell) logGates(t *task, now cottonlanding.Millis) {
 	counts := c.countGates(t, now)
 	c.log.Info("step waits", "Task", t.ref.String(), "Run", t.number, "Waited", now-t.since, "Workers", len(c.workers),
 		"Unusable", counts[unusableGate], "Barred", counts[barredGate], "Full", counts[fullGate], "KeptForOther", counts[keptForOtherGate],
 		"KeptApart", counts[keptApartGate], "Due", counts[dueGate], "WouldDisturb", counts[disturbGate], "Fits", counts[noGate],
-		"CPU", int64(t.stage.Resources.CPU), "Memory", t.stage.Resources.Memory.String())
+		"MayStart", t.job.mayStart(now), "CPU", int64(t.stage.Resources.CPU), "Memory", t.stage.Resources.Memory.String())
 }
 
 // tellsWaiting reports whether it's time to log why a task waits, and notes that it is logged.
 func (t *task) tellsWaiting(now cottonlanding.Millis) bool {
-	if now-t.since < logWaitingAfter || now-t.stage.toldAt < logWaitingEvery && t.stage.toldAt > 0 {
+	toldAt := t.lastTold()
+	if now-t.since < logWaitingAfter || now-*toldAt < logWaitingEvery && *toldAt > 0 {
 		return false
 	}
-	t.stage.toldAt = now
+	*toldAt = now
 	return true
 }
 
+// lastTold returns when it was last logged why the task waits: for a task that is missed, or for all of its step.
+func (t *task) lastTold() *cottonlanding.Millis {
+	if t.downtime != nil {
+		return &t.downtime.toldAt
+	}
+	return &t.stage.toldAt
+}
+
 // logRowFull logs that a task waits although a worker has room: with it the workflow's row might
 // be longer than the table takes.
 func (c *Cell) logRowFull(t *task, now cottonlanding.Millis) {
