Many interrupted tasks get room at the same time

Of 12 lasting tasks of one step that were interrupted at once, in a cell of 47 workers with short tasks on them, some didn't run again within 27 s, though there was room for each of them several times over in sum.

Cause: a worker was kept for one task at a time, and only for the first of a step that found no room: the turn of the step ends there. Ruled out: room is also kept for others of the step without the larger bound, which is as slow.

Tasks that were interrupted long ago may have a quarter of the workers kept for them, and those of one step don't wait for each other. It costs short tasks only while such tasks fit on no single worker and room in sum is there.

--- a/internal/workflow/planner/lastingwaits_test.go
+++ b/internal/workflow/planner/lastingwaits_test.go
@@ -172,3 +172,33 @@
 	require.Less(t, w.downFor("lasting", 1, stream), startWithin)
 	require.Empty(t, w.runner.Violations())
 }
+
+// TestManyInterruptedTasksRunAgainInTime: one worker at a time was kept for all lasting tasks of a cell, so that of many
+// that were interrupted at once among short tasks the last ones were down for too long.
+func TestManyInterruptedTasksRunAgainInTime(t *testing.T) {
+	const interrupted = 12
+	w := newSpreadWorld(t)
+	for range 43 {
+		w.addWorker()
+	}
+	w.relist()
+	w.play(cottonlanding.Second)
+	w.submit("lasting", "Urgent", lasting(interrupted, 1, 7000))
+	w.play(cottonlanding.Second)
+	require.Equal(t, interrupted, w.runner.Lasting())
+	var leaving []int
+	for at, info := range w.workers {
+		if w.runner.RunsOn(info.ID) > 0 {
+			leaving = append(leaving, at)
+		}
+	}
+	stream := w.streamed(2)
+	w.playBeside(3*cottonlanding.Second, stream)
+	for _, at := range leaving {
+		w.workers[at].State = cottonlanding.Leaving
+	}
+	w.relist()
+	down := w.downFor("lasting", interrupted, stream)
+	require.Less(t, down, startWithin)
+	require.Empty(t, w.runner.Violations())
+}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -152,7 +152,7 @@
 		return // nothing is to give way for a task that may not be placed
 	}
 	c.makeRoom(t, now)
-	c.keepRoom(t, now)
+	c.keepRooms(t, now)
 	c.logWaiting(t, now)
 }
 
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -17,10 +17,12 @@
 	// keepAfter is how long a lasting task waits before a worker is kept for it,
 	// keepFor how long that lasts at most. The rule asks for a start after some nine
 	// seconds; each worker that is kept costs short tasks, so that as few are kept as
-	// can be: one at a time for each workersPerKept, on which one was enough.
-	keepAfter      = 5 * cottonlanding.Second
-	keepFor        = 4 * cottonlanding.Second
-	workersPerKept = 48
+	// can be: one at a time for each workersPerKept, on which one was enough. For tasks that
+	// were interrupted it is one for each workersPerInterrupted, since each has to start in time.
+	keepAfter             = 5 * cottonlanding.Second
+	keepFor               = 4 * cottonlanding.Second
+	workersPerKept        = 48
+	workersPerInterrupted = 4
 )
 
 // makeRoom stops runs of less urgent queues on the worker where that loses the
@@ -53,19 +55,32 @@
 	}
 }
 
+// keepRooms keeps workers free for a task, and for those of its step that were interrupted as well: the turn of
+// the step ends with the first that finds no room.
+func (c *Cell) keepRooms(t *task, now cottonlanding.Millis) {
+	if !c.keepRoom(t, now) {
+		return
+	}
+	for _, other := range t.stage.tasks {
+		if other.claim(now) == brokenClaim && !c.keepRoom(other, now) {
+			return
+		}
+	}
+}
+
 // keepRoom keeps a worker free for a lasting task that has waited for long although
 // there is room in sum, or short ones would take that as soon as one worker has
-// enough of it.
-func (c *Cell) keepRoom(t *task, now cottonlanding.Millis) {
+// enough of it. It reports whether one is kept.
+func (c *Cell) keepRoom(t *task, now cottonlanding.Millis) bool {
 	if !t.waitsLong(now) || !c.roomInSum(t, now) {
-		return
+		return false
 	}
 	kept := 0
 	var best *worker
 	for _, w := range c.sortedWorkers() {
 		if w.kept(now) {
 			if w.keptFor == t {
-				return
+				return true
 			}
 			kept++
 			continue
@@ -75,11 +90,21 @@
 			best = w
 		}
 	}
-	if best == nil || kept >= max(1, len(c.workers)/workersPerKept) {
-		return
+	if best == nil || kept >= c.mostKept(t, now) {
+		return false
 	}
 	best.keptFor, best.keptUntil = t, now+keepFor
 	c.log.Info("capacity reserved", "Task", t.ref.String(), "Worker", best.info.ID, "Waited", now-t.since, "Free", int64(c.room(best, now).free.CPU))
+	return true
+}
+
+// mostKept returns how many workers may be kept for a task to get another one. Of many that were
+// interrupted at once each has its time, so that they don't wait for one another.
+func (c *Cell) mostKept(t *task, now cottonlanding.Millis) int {
+	if t.claim(now) == brokenClaim {
+		return max(1, len(c.workers)/workersPerInterrupted)
+	}
+	return max(1, len(c.workers)/workersPerKept)
 }
 
 // waitsLong reports whether a lasting task has waited, or was down, for so long that a worker is
