A run that was not sent leaves a worker that falls silent

A task that was placed on a worker which fell silent before its start went out waited for 6.25 s, until the worker's lease had surely run out, beside workers with room.

Cause: a placed run counts as the worker's until the lease bound, whether anything of it was sent or not. Ruled out: to do the same for runs that were sent, which may begin.

Such a run is taken back at the next decision, as that of a cordoned worker.

TestPlacedRunLeavesALeasedWorkerThatFallsSilent: 6.25 s before, under 1 s now.

--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -167,7 +167,8 @@
 }
 
 // dropUnsent ends the runs that were never sent and are to be stopped, or whose
-// worker is cordoned by now: a start must not come long after that is known.
+// worker is cordoned by now: a start must not come long after that is known. One whose worker
+// has fallen silent would wait for its lease to run out, although nothing of it can begin there.
 func (c *Cell) dropUnsent(now cottonlanding.Millis) {
 	for _, w := range c.sortedWorkers() {
 		if !w.ordersDue {
@@ -192,6 +193,8 @@
 		c.vanish(r, now)
 	case r.phase < sent && w.cordoned():
 		c.takeBack(r, "its worker may be given nothing", now)
+	case r.phase < sent && !w.reachable(now):
+		c.takeBack(r, "its worker gives no answer", now)
 	}
 }
 
