A lasting task leaves a worker that doesn't tell of its start

A lasting task that was placed on a worker which answered looks, didn't list its run and left its starts unanswered stayed there without end, while others had room.

Cause: a start is repeated each 250 ms after the last got no answer, for as long as the worker answers looks; nothing bounds that. Ruled out: to place the task elsewhere at once, since a copy may still begin it; the same for short tasks, which may be done by a copy that was taken late.

After two starts without an answer, or one if the task must run again, its run is stopped where another worker has room, and the task placed there once the run is ruled out: the stop was answered and a later look doesn't list it. A run that is listed meanwhile isn't stopped.

--- a/internal/workflow/planner/down.go
+++ b/internal/workflow/planner/down.go
@@ -1,6 +1,10 @@
 package planner
 
-import "github.com/cottonlanding/cottonlanding"
+import (
+	"slices"
+
+	"github.com/cottonlanding/cottonlanding"
+)
 
 // A lasting task that has run is missed by its users until it runs again. What keeps it waiting for the
 // sake of others ends in time for a start, counted from when its run was last seen at work: that a run
@@ -13,6 +17,11 @@
 	// mostHeldBack is how long after its run was last seen a task may be kept waiting for the sake of
 	// others. What is left of mostDown is for making room and for the start.
 	mostHeldBack = 7 * cottonlanding.Second
+	// startPatience is how long a lasting task stays with a worker that doesn't tell of its start while
+	// others have room: for two starts without an answer. lastStartPatience is the same for one that
+	// must run again, for one start.
+	startPatience     = 2250 * cottonlanding.Millis(1)
+	lastStartPatience = cottonlanding.Second
 )
 
 // recordAtWork notes that the run was at work at an instant.
@@ -34,3 +43,38 @@
 func (t *task) mustRunAgain(now cottonlanding.Millis) bool {
 	return t.stage.Lasting && !t.stage.Fills && t.number > 0 && now-t.downSince() >= mostHeldBack
 }
+
+// leaveUnheard stops the runs of lasting tasks of whose start their workers don't tell, though they answer looks, where
+// another worker has room. The task is placed there once the run is ruled out.
+func (c *Cell) leaveUnheard(now cottonlanding.Millis) {
+	for _, j := range c.order {
+		if !j.lasts {
+			continue
+		}
+		j.eachTask(func(t *task) {
+			if t.unheard(now) && c.hasOtherPlace(t, now) {
+				t.failedOn = append(t.failedOn, t.run.worker.life())
+				c.stop(t.run, "its worker has not told of the start", now)
+			}
+		})
+	}
+}
+
+// unheard reports whether the worker of a lasting task has answered a look since the task was first started there, and has
+// not told of the start for long. The members of a gang wait for each other, and stay.
+func (t *task) unheard(now cottonlanding.Millis) bool {
+	r := t.run
+	if r == nil || r.phase != sent || r.stopping || r.firstSentAt == 0 || !t.stage.Lasting || t.stage.Fills || t.stage.Gang {
+		return false
+	}
+	patience := startPatience
+	if t.mustRunAgain(now) {
+		patience = lastStartPatience
+	}
+	return now-r.firstSentAt >= patience && r.worker.reachable(now) && r.worker.answered > r.firstSentAt
+}
+
+// hasOtherPlace reports whether a worker other than that of its run could take a task.
+func (c *Cell) hasOtherPlace(t *task, now cottonlanding.Millis) bool {
+	return slices.ContainsFunc(c.sortedWorkers(), func(w *worker) bool { return w != t.run.worker && c.fits(t, w, now) })
+}
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 
@@ -150,7 +151,7 @@
 		order.Start.LeaseUntil = c.leaseUntil(w, now)
 		order.Start.Checkpoint = c.startCheckpoint(w, r, now)
 		r.phase = sent
-		r.sentAt = now
+		r.recordSent(now)
 		return order, true
 	case r.phase == started && r.pace != r.paceGoal:
 		order.Verb, order.Percent = VerbPace, r.paceGoal
@@ -159,6 +160,12 @@
 	return Order{}, false
 }
 
+// recordSent notes that a start is given out.
+func (r *run) recordSent(now cottonlanding.Millis) {
+	r.sentAt = now
+	r.firstSentAt = cmp.Or(r.firstSentAt, now)
+}
+
 // countCopy counts the starts that are repeated although the worker has answered no look since the last one.
 func (r *run) countCopy(w *worker) {
 	if r.phase == sent && w.answered <= r.sentAt {
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -31,6 +31,7 @@
 	c.recordSilences(now)
 	c.dropUnsent(now)
 	c.leaveDraining(now)
+	c.leaveUnheard(now)
 	c.beginRounds(now, wall)
 	c.place(now)
 	c.returnGuests(now)
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -73,6 +73,8 @@
 	// sentAt is when the last start went out: which of those without an answer began the run is
 	// not known.
 	sentAt cottonlanding.Millis
+	// firstSentAt is when the first start of this owner went out.
+	firstSentAt cottonlanding.Millis
 	// unseenCopies counts the starts that were repeated since the worker last answered a look.
 	unseenCopies int
 	// ackedAt is when the worker said that it started the run, listedAt when it last listed it.
