--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -31,6 +31,7 @@
 	c.recordSilences(now)
 	c.dropUnsent(now)
 	c.leaveDraining(now)
+	c.leaveUnheard(now)
 	c.beginRounds(now, wall)
 	c.place(now)
 	c.returnGuests(now)
@@ -154,7 +155,7 @@
 		return // nothing is to give way for a task that may not be placed
 	}
 	c.makeRoom(t, now)
-	c.keepRoom(t, now)
+	c.keepRooms(t, now)
 	c.logWaiting(t, now)
 }
 
