Search: owners that are seen to be gone or release their cell

Half of the owners that end in the histories of lasting tasks are followed as such: the next one counts their leases from its own beginning, not from the last beat.

--- a/internal/workflow/planner/playedcell_test.go
+++ b/internal/workflow/planner/playedcell_test.go
@@ -113,9 +113,13 @@
 	if !p.owned() {
 		return
 	}
-	beat := cottonlanding.Millis(p.random.Intn(int(mostBeatAge)))
-	p.beforeUntil = p.now - beat + ownerTTL + platformTiming.CutOffGrace
 	p.ownedFrom = p.now + after
+	p.beforeUntil = p.ownedFrom // it was seen to be gone, or has released the cell
+	if p.random.Intn(2) == 0 {
+		beat := cottonlanding.Millis(p.random.Intn(int(mostBeatAge)))
+		p.beforeUntil = p.now - beat + ownerTTL // it was seen to write no beat
+	}
+	p.beforeUntil += platformTiming.CutOffGrace
 	p.lastTrouble = p.now
 	clear(p.looks)
 	p.answers, p.stuckUntil = nil, 0
