--- a/internal/workflow/planner/playedcell_test.go
+++ b/internal/workflow/planner/playedcell_test.go
@@ -24,6 +24,7 @@
 // platformTiming holds the spans of the owners on the users' platform.
 var platformTiming = planner.Timing{
 	Lease: 6 * cottonlanding.Second, LongestLease: 10 * cottonlanding.Second, CutOffGrace: 2 * cottonlanding.Second,
+	LeaseTail: 7 * cottonlanding.Second,
 	StopTimeout: 300, Retention: 10 * cottonlanding.Minute,
 }
 
@@ -69,7 +70,7 @@
 }
 
 func newPlayedCell(w *world, random *rand.Rand) *playedCell {
-	w.timing = platformTiming
+	w.timing, w.ownedFor = platformTiming, ownerTTL
 	w.runner.CutLeases(platformTiming.LongestLease)
 	return &playedCell{
 		world:       w,
@@ -98,6 +99,10 @@
 	if !p.owned() || p.now < p.stuckUntil {
 		return
 	}
+	if p.now >= p.silentTableUntil { // a beat goes out, and its answer tells the table's clock
+		p.cell.SetTableClock(p.tableClock())
+		p.tellOwned()
+	}
 	p.takeAnswers()
 	p.cell.HoldStarts(p.now < p.heldUntil)
 	p.cell.Decide(p.now, int64(p.now))
