A run is ruled out once the leases of its starts have passed

A lasting task was tied for good to a worker that answered looks and neither starts nor stops: a run of which a start may still come was given up only once a stop had been answered, or the worker had been silent for a lease.

Cause: that starts end by themselves counted only for silent workers. A worker refuses a start whose lease has passed by its own clock, on which the lease bound rests as well, and those of owners before once it has answered this one.

A run that is being stopped and whose start was never told of is given up when a look doesn't list it and shows a clock beyond the leases of all its starts. A run that came from an earlier life of the worker isn't: its starts bring leases by another clock.

--- a/internal/workflow/planner/lastingstarts_test.go
+++ b/internal/workflow/planner/lastingstarts_test.go
@@ -161,3 +161,13 @@
 	require.Less(t, d.downFor("lasting"), startWithin)
 	d.requireOnce()
 }
+
+// TestLastingTaskLeavesAWorkerThatAnswersNoOrder: the task was tied for good to a worker that answered looks and
+// neither starts nor stops.
+func TestLastingTaskLeavesAWorkerThatAnswersNoOrder(t *testing.T) {
+	w := lastingWorld(t)
+	w.leaveLasting()
+	d := newDeaf(w, planner.VerbStart, planner.VerbStop)
+	require.Less(t, d.downFor("lasting"), startWithin)
+	d.requireOnce()
+}
--- a/internal/workflow/planner/life.go
+++ b/internal/workflow/planner/life.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"math"
 	"slices"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -141,6 +142,7 @@
 func (r *run) adopt() {
 	r.life, r.born = r.worker, r.worker.born
 	r.stopAcked, r.ruledOutAt, r.nextStop = 0, 0, 0
+	r.startsUntil = math.MaxInt64 // starts bring leases by the clock of the life before
 	r.worker.changed()
 }
 
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -156,7 +156,7 @@
 		if listed[r.RunKey] {
 			continue
 		}
-		stopped := r.stopping && r.ruledOutAt > 0 && r.ruledOutAt < sentAt
+		stopped := r.stopping && (r.ruledOutAt > 0 && r.ruledOutAt < sentAt || r.startsPassed(report.Reading))
 		gone := r.phase == started && r.ackedAt < sentAt
 		if stopped || gone {
 			c.log.Info("run gone", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Born", w.born, "Stopped", stopped)
@@ -165,6 +165,12 @@
 	}
 }
 
+// startsPassed reports whether a worker that doesn't list a run refuses all its starts from now on: those of owners
+// before by their epoch, those of this one since their leases have passed by its clock.
+func (r *run) startsPassed(reading cottonlanding.Reading) bool {
+	return r.phase == sent && reading-readingSlack > r.startsUntil
+}
+
 // adoptOrphan keeps the books of a run that no task asks for, until it is stopped.
 func (c *Cell) adoptOrphan(w *worker, key cottonlanding.RunKey, now cottonlanding.Millis) *run {
 	r := &run{RunKey: key, worker: w, life: w, born: w.born, phase: started, pace: fullPace, paceGoal: fullPace}
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -151,7 +151,7 @@
 		order.Start.LeaseUntil = c.leaseUntil(w, now)
 		order.Start.Checkpoint = c.startCheckpoint(w, r, now)
 		r.phase = sent
-		r.recordSent(now)
+		r.recordSent(order.Start.LeaseUntil, now)
 		return order, true
 	case r.phase == started && r.pace != r.paceGoal:
 		order.Verb, order.Percent = VerbPace, r.paceGoal
@@ -160,9 +160,10 @@
 	return Order{}, false
 }
 
-// recordSent notes that a start is given out.
-func (r *run) recordSent(now cottonlanding.Millis) {
+// recordSent notes that a start is given out, with the lease that it brings.
+func (r *run) recordSent(until cottonlanding.Reading, now cottonlanding.Millis) {
 	r.sentAt = now
+	r.startsUntil = max(r.startsUntil, until)
 	r.firstSentAt = cmp.Or(r.firstSentAt, now)
 }
 
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -75,6 +75,8 @@
 	sentAt cottonlanding.Millis
 	// firstSentAt is when the first start of this owner went out.
 	firstSentAt cottonlanding.Millis
+	// startsUntil is when the worker takes none of this owner's starts any more, by its clock.
+	startsUntil cottonlanding.Reading
 	// unseenCopies counts the starts that were repeated since the worker last answered a look.
 	unseenCopies int
 	// ackedAt is when the worker said that it started the run, listedAt when it last listed it.
