A start that its worker keeps finding too late is given up

A task whose starts a worker refused as too late stayed there without end, also short ones.

A first one is late if the owner or the connection stood still for a lease; the answer tells the worker's clock, so that the next one is in time.

After three the fourth counts as a refusal.

One that is late once is repeated, as before (TestStartThatIsLateOnceIsRepeated).

--- a/internal/workflow/planner/lastingstarts_test.go
+++ b/internal/workflow/planner/lastingstarts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"slices"
 	"testing"
 
@@ -86,7 +87,9 @@
 		if d.now-order.SentAt < d.takes {
 			return false
 		}
-		d.late = append(d.late, order)
+		if errors.Is(d.err, cottonlanding.ErrAmbiguous) {
+			d.late = append(d.late, order)
+		}
 		d.cell.Ordered(order, 0, d.err, d.now)
 		return true
 	})
@@ -171,3 +174,39 @@
 	require.Less(t, d.downFor("lasting"), startWithin)
 	d.requireOnce()
 }
+
+// TestTaskLeavesAWorkerThatFindsItsStartsLate: starts that a worker refused as too late were repeated to it without end,
+// those of short tasks as well, which nothing else moves.
+func TestTaskLeavesAWorkerThatFindsItsStartsLate(t *testing.T) {
+	for _, id := range []cottonlanding.WorkflowID{"lasting", "slow"} {
+		t.Run(string(id), func(t *testing.T) {
+			w := lastingWorld(t)
+			w.leaveLasting()
+			if id == "slow" {
+				w.cell.Cancel("lasting", w.now, func(error) {})
+				w.submit("slow", "Urgent", short(3000))
+			}
+			d := newDeaf(w, planner.VerbStart)
+			d.err, d.takes = cottonlanding.ErrLate, 0
+			require.Less(t, d.downFor(id), 2*cottonlanding.Second)
+			d.requireOnce()
+		})
+	}
+}
+
+// TestStartThatIsLateOnceIsRepeated: the clock that comes with the answer makes the next start one in time.
+func TestStartThatIsLateOnceIsRepeated(t *testing.T) {
+	w := lastingWorld(t)
+	w.leaveLasting()
+	d := newDeaf(w, planner.VerbStart)
+	d.err, d.takes = cottonlanding.ErrLate, 0
+	for d.worker == "" {
+		d.turn()
+	}
+	d.turn()
+	d.unanswered = nil
+	require.Less(t, d.downFor("lasting"), cottonlanding.Second)
+	require.Equal(t, 6, w.runner.Starts())
+	at := slices.IndexFunc(w.workers, func(info cottonlanding.WorkerInfo) bool { return info.ID == d.worker })
+	require.Equal(t, 2, w.runner.RunsOn(w.workers[at].ID))
+}
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -26,6 +26,10 @@
 // and crash it like the one before, while nobody has missed either.
 const mostUnseenCopies = 1
 
+// mostLateStarts is how often a start that was too late is repeated. The answer tells the worker's clock, and the next
+// start a lease by that: more are late only if that isn't the cause.
+const mostLateStarts = 3
+
 // Order is something to send to a worker.
 type Order struct {
 	Verb   Verb
@@ -262,7 +266,8 @@
 	case errors.Is(err, cottonlanding.ErrConflict):
 		// It ended there; the next look lists the end, or shows that it was noted.
 		r.phase, r.ackedAt = started, now
-	case errors.Is(err, cottonlanding.ErrLate):
+	case errors.Is(err, cottonlanding.ErrLate) && r.lateStarts < mostLateStarts:
+		r.lateStarts++
 		r.nextTry = now + orderPause
 	case errors.Is(err, cottonlanding.ErrAmbiguous):
 		r.doubtful = true
