--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -26,6 +26,10 @@
 // and crash it like the one before, while nobody has missed either.
 const mostUnseenCopies = 1
 
+// mostLateStarts is how often a start that was too late is repeated. The answer tells the worker's clock, and the next
+// start a lease by that: more are late only if that isn't the cause.
+const mostLateStarts = 3
+
 // Order is something to send to a worker.
 type Order struct {
 	Verb   Verb
@@ -151,7 +155,7 @@
 		order.Start.LeaseUntil = c.leaseUntil(w, now)
 		order.Start.Checkpoint = c.startCheckpoint(w, r, now)
 		r.phase = sent
-		r.recordSent(now)
+		r.recordSent(order.Start.LeaseUntil, now)
 		return order, true
 	case r.phase == started && r.pace != r.paceGoal:
 		order.Verb, order.Percent = VerbPace, r.paceGoal
@@ -160,9 +164,10 @@
 	return Order{}, false
 }
 
-// recordSent notes that a start is given out.
-func (r *run) recordSent(now cottonlanding.Millis) {
+// recordSent notes that a start is given out, with the lease that it brings.
+func (r *run) recordSent(until cottonlanding.Reading, now cottonlanding.Millis) {
 	r.sentAt = now
+	r.startsUntil = max(r.startsUntil, until)
 	r.firstSentAt = cmp.Or(r.firstSentAt, now)
 }
 
@@ -263,7 +268,8 @@
 	case errors.Is(err, cottonlanding.ErrConflict):
 		// It ended there; the next look lists the end, or shows that it was noted.
 		r.phase, r.ackedAt = started, now
-	case errors.Is(err, cottonlanding.ErrLate):
+	case errors.Is(err, cottonlanding.ErrLate) && r.lateStarts < mostLateStarts:
+		r.lateStarts++
 		r.nextTry = now + orderPause
 	case errors.Is(err, cottonlanding.ErrAmbiguous):
 		r.doubtful = true
