Search: workers whose entry has gone are still looked at

The histories of lasting tasks looked only at workers that are listed. Real owners go on looking at one that was listed under them until nothing of it is left, so that the ends of a worker that serves on are heard. A worker that is back, or in another's place, isn't leaving.

--- a/internal/workflow/planner/againtrouble_test.go
+++ b/internal/workflow/planner/againtrouble_test.go
@@ -111,9 +111,13 @@
 // comeBack begins the next life of a worker under its id; its entry tells of that somewhat later.
 func (h *againHistory) comeBack(p *playedCell, id cottonlanding.WorkerID) {
 	at := slices.IndexFunc(p.workers, func(info cottonlanding.WorkerInfo) bool { return info.ID == id })
+	if at < 0 {
+		return // it was leaving, and its entry has gone
+	}
 	h.tell("%s is back", id)
 	delete(h.gone, id)
 	p.workers = slices.Clone(p.workers)
+	p.workers[at].State = cottonlanding.Live
 	p.rebirth(at)
 	h.later(h.span(0, cottonlanding.Second), func() { p.list() })
 }
@@ -122,6 +126,7 @@
 func (h *againHistory) replace(p *playedCell, id cottonlanding.WorkerID) {
 	for _, info := range p.workers {
 		if info.ID == id {
+			info.State = cottonlanding.Live
 			p.addLife(info)
 			p.rebirth(len(p.workers) - 1)
 			h.tell("%s comes at the address of %s", p.workers[len(p.workers)-1].ID, id)
--- a/internal/workflow/planner/playedcell_test.go
+++ b/internal/workflow/planner/playedcell_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math/rand"
 	"slices"
 
@@ -48,7 +49,9 @@
 type playedCell struct {
 	*world
 	random *rand.Rand
-	looks  map[cottonlanding.WorkerID]sentLook
+	// attended holds the workers that are looked at, also after their entry has gone; looks those that are under way.
+	attended map[cottonlanding.WorkerID]bool
+	looks    map[cottonlanding.WorkerID]sentLook
 	// answers are those that haven't come yet, overdue the orders that their workers haven't carried out yet.
 	answers, overdue []sentOrder
 	committedAt      cottonlanding.Millis
@@ -74,6 +77,7 @@
 	return &playedCell{
 		world:       w,
 		random:      random,
+		attended:    make(map[cottonlanding.WorkerID]bool),
 		looks:       make(map[cottonlanding.WorkerID]sentLook),
 		faultyUntil: make(map[cottonlanding.WorkerID]cottonlanding.Millis),
 		deafUntil:   make(map[cottonlanding.WorkerID]cottonlanding.Millis),
@@ -103,8 +107,18 @@
 	p.cell.Decide(p.now, int64(p.now))
 	p.playCommit()
 	p.sendOrders()
-	for _, info := range slices.Clone(p.workers) {
-		p.playLook(info.ID)
+	p.attend()
+}
+
+// attend looks at all workers that are listed, or were under this owner and aren't forgotten.
+func (p *playedCell) attend() {
+	for _, info := range p.workers {
+		if p.cell.Attends(info.ID) {
+			p.attended[info.ID] = true
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.attended)) {
+		p.playLook(id)
 	}
 }
 
@@ -122,6 +136,7 @@
 	p.beforeUntil += platformTiming.CutOffGrace
 	p.lastTrouble = p.now
 	clear(p.looks)
+	clear(p.attended)
 	p.answers, p.stuckUntil = nil, 0
 }
 
@@ -261,6 +276,9 @@
 	look, underWay := p.looks[id]
 	if !underWay {
 		next, found := p.cell.NextLook(id, p.now)
+		if !found {
+			delete(p.attended, id)
+		}
 		if !found || next.After > 0 {
 			return
 		}
