--- a/internal/workflow/planner/againhistory_test.go
+++ b/internal/workflow/planner/againhistory_test.go
@@ -29,7 +29,7 @@
 	mostOpen = 40
 )
 
-// planned is something that happens to a history at an instant.
+// plannedEvent is something that happens to a history at an instant.
 type plannedEvent struct {
 	at cottonlanding.Millis
 	do func()
@@ -47,7 +47,7 @@
 	tasks []lastingTask
 	homes map[cottonlanding.WorkflowID]int
 	steps map[cottonlanding.WorkflowID]cottonlanding.Step
-	// sound holds the workers whose process goes on and that can be reached.
+	// dark holds the workers that run on and can't be reached, gone those whose process has ended.
 	dark, gone map[cottonlanding.WorkerID]bool
 	agenda     []plannedEvent
 	events     []string
@@ -154,7 +154,7 @@
 	h.agenda = append(h.agenda, plannedEvent{h.now() + span, do})
 }
 
-// between returns a random span.
+// span returns a random span.
 func (h *againHistory) span(least, most cottonlanding.Millis) cottonlanding.Millis {
 	return least + cottonlanding.Millis(h.random.Intn(int(most-least)+1))
 }
--- a/internal/workflow/planner/playedcell_test.go
+++ b/internal/workflow/planner/playedcell_test.go
@@ -325,13 +325,14 @@
 	}
 }
 
-// lateTasks returns the tasks of which workers have orders that they will carry out late, lateWorkers those workers.
+// lateTasks adds the tasks of which workers have orders that they will carry out late.
 func (p *playedCell) lateTasks(into map[cottonlanding.TaskRef]bool) {
 	for _, order := range p.overdue {
 		into[order.Start.Task] = true
 	}
 }
 
+// holdsBack reports whether a worker has orders that it will carry out late.
 func (p *playedCell) holdsBack(id cottonlanding.WorkerID) bool {
 	return slices.ContainsFunc(p.overdue, func(order sentOrder) bool { return order.Worker.Life.Worker == id })
 }
