--- a/internal/workflow/planner/playedcell_test.go
+++ b/internal/workflow/planner/playedcell_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"math/rand"
 	"slices"
 
@@ -24,7 +25,7 @@
 // platformTiming holds the spans of the owners on the users' platform.
 var platformTiming = planner.Timing{
 	Lease: 6 * cottonlanding.Second, LongestLease: 10 * cottonlanding.Second, CutOffGrace: 2 * cottonlanding.Second,
-	LeaseTail: 7 * cottonlanding.Second,
+	LeaseTail:   7 * cottonlanding.Second,
 	StopTimeout: 300, Retention: 10 * cottonlanding.Minute,
 }
 
@@ -49,7 +50,9 @@
 type playedCell struct {
 	*world
 	random *rand.Rand
-	looks  map[cottonlanding.WorkerID]sentLook
+	// attended holds the workers that are looked at, also after their entry has gone; looks those that are under way.
+	attended map[cottonlanding.WorkerID]bool
+	looks    map[cottonlanding.WorkerID]sentLook
 	// answers are those that haven't come yet, overdue the orders that their workers haven't carried out yet.
 	answers, overdue []sentOrder
 	committedAt      cottonlanding.Millis
@@ -75,6 +78,7 @@
 	return &playedCell{
 		world:       w,
 		random:      random,
+		attended:    make(map[cottonlanding.WorkerID]bool),
 		looks:       make(map[cottonlanding.WorkerID]sentLook),
 		faultyUntil: make(map[cottonlanding.WorkerID]cottonlanding.Millis),
 		deafUntil:   make(map[cottonlanding.WorkerID]cottonlanding.Millis),
@@ -108,8 +112,18 @@
 	p.cell.Decide(p.now, int64(p.now))
 	p.playCommit()
 	p.sendOrders()
-	for _, info := range slices.Clone(p.workers) {
-		p.playLook(info.ID)
+	p.attend()
+}
+
+// attend looks at all workers that are listed, or were under this owner and aren't forgotten.
+func (p *playedCell) attend() {
+	for _, info := range p.workers {
+		if p.cell.Attends(info.ID) {
+			p.attended[info.ID] = true
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.attended)) {
+		p.playLook(id)
 	}
 }
 
@@ -127,6 +141,7 @@
 	p.beforeUntil += platformTiming.CutOffGrace
 	p.lastTrouble = p.now
 	clear(p.looks)
+	clear(p.attended)
 	p.answers, p.stuckUntil = nil, 0
 }
 
@@ -266,6 +281,9 @@
 	look, underWay := p.looks[id]
 	if !underWay {
 		next, found := p.cell.NextLook(id, p.now)
+		if !found {
+			delete(p.attended, id)
+		}
 		if !found || next.After > 0 {
 			return
 		}
@@ -312,13 +330,14 @@
 	}
 }
 
-// lateTasks returns the tasks of which workers have orders that they will carry out late, lateWorkers those workers.
+// lateTasks adds the tasks of which workers have orders that they will carry out late.
 func (p *playedCell) lateTasks(into map[cottonlanding.TaskRef]bool) {
 	for _, order := range p.overdue {
 		into[order.Start.Task] = true
 	}
 }
 
+// holdsBack reports whether a worker has orders that it will carry out late.
 func (p *playedCell) holdsBack(id cottonlanding.WorkerID) bool {
 	return slices.ContainsFunc(p.overdue, func(order sentOrder) bool { return order.Worker.Life.Worker == id })
 }
