Lasting tasks keep off a worker whose next life has just begun

What callers saw: a lasting task that began on a worker just after its next life did, and lost it again, was down for over 10 s beside workers with room (LOST).

Cause: leases that were meant for the life before may reach the next one, which cuts them to the longest, 10 s. So that long nothing is known to have ended there.

Ruled out: a shorter bound. The late order may still come.

Change: such a worker counts as doubtful for lasting tasks: it gets them if no other has room.

Measured: TestLastingTasksKeepOffALifeThatHasJustBegun: 3 of 12 tasks began there before, none after.

--- a/internal/workflow/planner/leasebounds.go
+++ b/internal/workflow/planner/leasebounds.go
@@ -87,6 +87,12 @@
 	return min(span, c.bounds.ownedUntil+c.timing.LeaseTail-w.readAt)
 }
 
+// mayOutlast reports whether leases on a worker may last for longer than one that is granted now, since another life of it
+// has just taken over. Should it end as well, its tasks would have to wait for that.
+func (c *Cell) mayOutlast(w *worker, now cottonlanding.Millis) bool {
+	return w.bound > now+stretched(c.timing.longestSpan())
+}
+
 // longestSpan is how long before its end the clock of a worker was read at most by which a lease is reckoned.
 func (t Timing) longestSpan() cottonlanding.Millis { return t.Lease + reachableWithin }
 
--- a/internal/workflow/planner/leasebounds_test.go
+++ b/internal/workflow/planner/leasebounds_test.go
@@ -203,3 +203,26 @@
 	}
 	require.Equal(t, 4, w.runner.Lasting())
 }
+
+// TestLastingTasksKeepOffALifeThatHasJustBegun: leases that were meant for the life before may reach the next one, which cuts them to the longest
+// that workers take. A lasting task that began there and lost its worker once more stayed down for that long.
+func TestLastingTasksKeepOffALifeThatHasJustBegun(t *testing.T) {
+	w := newOwnedWorld(t)
+	w.timing.LongestLease = 10 * cottonlanding.Second
+	w.runner.CutLeases(w.timing.LongestLease)
+	w.rebirth(0)
+	w.takeOver()
+	w.play(cottonlanding.Second)
+	w.rebirth(0)
+	w.relist()
+	w.play(200)
+	step := cottonlanding.Step{Tasks: 12, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}}
+	w.submit("lasts", "Urgent", step)
+	w.play(500)
+	require.Equal(t, 12, w.runner.Lasting(), "the others have just enough room")
+	require.Zero(t, w.runner.RunsOn("w1"))
+	step.Tasks = 1
+	w.submit("lastsToo", "Urgent", step)
+	w.play(500)
+	require.Equal(t, 1, w.runner.RunsOn("w1"), "no other has room")
+}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -190,7 +190,8 @@
 	unshared
 	// ordinary workers are all other sound ones.
 	ordinary
-	// doubtful workers failed lately, are slow, failed this task, or are kept for a run that runs apart.
+	// doubtful workers failed lately, are slow, failed this task, or are kept for a run that runs apart; for lasting
+	// tasks also those of which it would be known late that they have ended.
 	doubtful
 	preferences
 )
@@ -205,6 +206,8 @@
 	switch {
 	case w.health.doubtful(now) || w.runsApart(now) || len(t.failedOn) > 0 && slices.Contains(t.failedOn, w.life()):
 		return doubtful
+	case t.stage.Lasting && c.mayOutlast(w, now):
+		return doubtful
 	case c.policy.Blame.Isolates(t.crashes) && (w.lastingRuns() || !w.steady(now)):
 		return doubtful
 	case t.stage.DataRack != "" && w.info.Rack == t.stage.DataRack:
