A slow table adds no bounds of leases

What callers would see: a lasting task starts anew after its worker was cut off for four seconds, although its lease of six would have lasted.

Cause: a worker with a written bound is granted nothing until the bound is taken off, which with a slow table is two commits of two seconds and more later.

Change: while commits take 300 ms and longer no bound is added. Those that stand are taken off as before.

Why it holds: a missing bound costs time only, never safety.

--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -41,6 +41,8 @@
 	// comes just after it began waits for it, for as long a pause, for the next decision
 	// and for a commit, and has 1.2 s for all of that.
 	behindAfter = 350 * cottonlanding.Millis(1)
+	// slowCommit is from how long a commit on the table counts as slow.
+	slowCommit = 300 * cottonlanding.Millis(1)
 	// reportAge is how old what is left of a cell may be to be told: three beats.
 	reportAge = 900 * cottonlanding.Millis(1)
 	// mostPromptLooks bounds the looks that ask for an answer at once, promptHold is how
@@ -322,6 +324,7 @@
 		err     error
 	}
 	done := make(chan outcome, 1)
+	began := d.deps.Clock.Now()
 	proposal := committer.Proposal{
 		Checks: plan.Checks,
 		Writes: plan.Writes,
@@ -339,6 +342,7 @@
 			}
 			d.mu.Lock()
 			d.cell.Committed(plan, result.receipt.Version)
+			d.cell.SetTableSlow(d.deps.Clock.Now()-began >= slowCommit)
 			if d.cell.TakeGuestNews() {
 				d.guestsDue.Wake()
 			}
--- a/internal/workflow/planner/leasebounds.go
+++ b/internal/workflow/planner/leasebounds.go
@@ -58,6 +58,8 @@
 	// older is when the leases of all owners before have ended, zero if nothing better is known than BeforeUntil
 	// tells. ownedUntil is until when this owner surely owns the cell, zero if it wasn't told.
 	older, ownedUntil cottonlanding.Millis
+	// tableSlow says that commits take long: a bound couldn't be taken off in time for the next lease.
+	tableSlow bool
 	// unread says that what the row holds isn't known here, so that it may be any worker's bound.
 	unread bool
 }
@@ -75,6 +77,9 @@
 	}
 }
 
+// SetTableSlow takes in whether commits take long. No bound is added then.
+func (c *Cell) SetTableSlow(slow bool) { c.bounds.tableSlow = slow }
+
 // capsLeases reports whether leases are bounded by until when the owner surely owns the cell.
 func (c *Cell) capsLeases() bool { return c.bounds.ownedUntil > 0 && c.timing.LeaseTail > 0 }
 
@@ -179,14 +184,15 @@
 	size := 0
 	for _, w := range c.sortedWorkers() {
 		id := w.info.ID
-		if w.runs.size() == 0 || !w.silentForLong(now) {
+		shown, kept := c.bounds.kept[id]
+		if w.runs.size() == 0 || !w.silentForLong(now) || c.bounds.tableSlow && !kept {
 			continue
 		}
 		size += len(id) + boundBytes
 		if len(out) >= mostBounds || size > mostBoundBytes {
 			return out
 		}
-		if shown, kept := c.bounds.kept[id]; kept && c.bounds.clock.Until(shown) >= w.bound {
+		if kept && c.bounds.clock.Until(shown) >= w.bound {
 			out[id] = shown
 			continue
 		}
--- a/internal/workflow/planner/leasebounds_test.go
+++ b/internal/workflow/planner/leasebounds_test.go
@@ -226,3 +226,29 @@
 	w.play(500)
 	require.Equal(t, 1, w.runner.RunsOn("w1"), "no other has room")
 }
+
+// TestSlowTableHoldsUpNoLease: a worker that is cut off for a moment while the table is slow goes on with its tasks. Its lease would run out
+// if it had to wait for two slow commits, one for its bound and one to take that off.
+func TestSlowTableHoldsUpNoLease(t *testing.T) {
+	w := newOwnedWorld(t)
+	w.play(cottonlanding.Second)
+	w.submit("lasts", "Urgent", cottonlanding.Step{Tasks: 4, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}})
+	w.play(2 * cottonlanding.Second)
+	started := w.runner.Starts()
+	w.cell.SetTableSlow(true)
+	for range 4 {
+		w.runner.Dark("w1", true)
+		w.playSlowTable(4 * cottonlanding.Second)
+		w.runner.Dark("w1", false)
+		w.playSlowTable(4 * cottonlanding.Second)
+	}
+	require.Equal(t, started, w.runner.Starts())
+}
+
+// playSlowTable lets a while pass in which each commit takes two and a half seconds.
+func (w *world) playSlowTable(span cottonlanding.Millis) {
+	for end := w.now + span; w.now < end; {
+		w.playSilentTable(min(2500, end-w.now))
+		w.commit()
+	}
+}
