Answers of two lives at one address may cross

What callers would see: a task runs twice.

Cause: a life that isn't listed was taken for ended once an answer of another one at its address came later than its own last one. Found in review.

Change: what counts is when the look was sent that the other one has answered.

Measured: TestAnswersOfTwoLivesMayCross red before ("run 2 of slow.0.0.0 starts while run 1 goes on"), green after.

--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -95,7 +95,7 @@
 	w.unlistedAlive = !w.listed
 	w.failed, w.asked = false, true
 	w.unsure, w.unanswered = false, false
-	w.answered = now
+	w.answered, w.askedAt = now, sentAt
 	w.recordHeard(now)
 	w.changed()
 	w.read(report.Reading, now)
--- a/internal/workflow/planner/successor.go
+++ b/internal/workflow/planner/successor.go
@@ -8,7 +8,7 @@
 )
 
 // One process has an address at a time. A life that is no longer listed has ended once another one
-// answers there. That another one is listed there says nothing: entries of lives that have ended
+// has answered there what it was asked after that life's last answer had come. That another one is listed there says nothing: entries of lives that have ended
 // stay for some seconds, also beside and after those of their successors.
 
 // settleSuccessors ends the runs, and settles the open lives, of workers that are no longer listed and at whose
@@ -25,7 +25,7 @@
 	}
 	answering := c.answeringAt()
 	for _, w := range gone {
-		if successor := answering[w.info.Address]; successor != nil && successor.answered > w.answered {
+		if successor := answering[w.info.Address]; successor != nil && successor.askedAt > w.answered {
 			c.loseWorker(w, now, lossBySuccessor)
 			c.forgetWorker(w.info.ID)
 		}
@@ -55,5 +55,5 @@
 	if successor == nil || successor.info.ID == id || w != nil && w.listed {
 		return false
 	}
-	return w == nil || successor.answered > w.answered
+	return w == nil || successor.askedAt > w.answered
 }
--- a/internal/workflow/planner/successor_test.go
+++ b/internal/workflow/planner/successor_test.go
@@ -1,6 +1,7 @@
 package planner_test
 
 import (
+	"context"
 	"slices"
 	"testing"
 
@@ -86,3 +87,42 @@
 	require.Empty(t, w.runner.Violations())
 	require.Equal(t, 1, w.runner.Starts())
 }
+
+// TestAnswersOfTwoLivesMayCross: an answer that a worker had made before it ended came after those of the one at its address, which had left the
+// list first and was taken for ended.
+func TestAnswersOfTwoLivesMayCross(t *testing.T) {
+	w := bornWorld(t)
+	old := w.workers[0]
+	next, found := w.cell.NextLook(old.ID, w.now)
+	require.True(t, found)
+	require.Zero(t, next.After)
+	asked := w.now
+	report, err := w.runner.Look(context.Background(), next.Worker, next.Look) // made, and under way for long
+	require.NoError(t, err)
+	w.runner.Crash(old.ID)
+	w.addLife(old)
+	came := len(w.workers) - 1
+	w.workers[came].Labels = []cottonlanding.Label{"next"}
+	w.rebirth(came)
+	w.relist()
+	turns := func(count int) {
+		for range count {
+			w.decide(turnSpan)
+			for _, info := range w.workers[1:] {
+				w.look(info.ID, true)
+			}
+		}
+	}
+	turns(3)
+	w.submit("slow", "Urgent", only("next", 1))
+	turns(3)
+	require.Equal(t, 1, w.runner.RunsOn(w.workers[came].ID))
+	w.workers[1].Labels = append(w.workers[1].Labels, "next")
+	w.unlist(came)
+	w.now += 50
+	w.cell.Looked(next, report, asked, w.now) // within the time of a look
+	for range 10 {
+		w.decide(turnSpan)
+	}
+	require.Empty(t, w.runner.Violations())
+}
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -166,8 +166,10 @@
 
 	// asked says that a look of this owner got an answer, or that none did for long.
 	asked bool
-	// answered is when the last answer to a look came, failed that the last look got none.
+	// answered is when the last answer to a look came, askedAt when that look was sent, failed says that the
+	// last look got none.
 	answered cottonlanding.Millis
+	askedAt  cottonlanding.Millis
 	failed   bool
 	// failedSince is when the first of the looks that failed since the last answer did.
 	failedSince cottonlanding.Millis
