Lasting runs whose leases have run out wait for no answer

What callers saw: lasting tasks on a worker that is cut off and stays listed are down for as long as owners change: 10.2 s with four changes 3.5 s apart, 11.7 s with 4 s.

Cause: each new owner first asks such a worker for three seconds, since its runs may have been done before. That says nothing of runs that never are done.

Change: lasting runs end by the lease alone; all others wait for the worker's word as before.

TestLateOwnerAsksBeforeItGivesUp is green, unchanged.

--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -243,6 +243,15 @@
 	return !w.listed || !w.reachable(now) || slices.ContainsFunc(w.runs.all(), (*run).mayHaveBegun)
 }
 
+// unasked reports whether the leases of a listed worker have surely run out, and this owner doesn't know yet whether it
+// answers. Its lasting runs have ended whatever it would tell; others may have been done before.
+func (w *worker) unasked(now cottonlanding.Millis) bool { return w.listed && !w.asked && now > w.bound }
+
+// lastingOf returns the worker's lasting runs.
+func (w *worker) lastingOf() []*run {
+	return slices.DeleteFunc(w.runs.snapshot(), func(r *run) bool { return !r.step.Lasting || r.task == nil })
+}
+
 // firstToGo orders the kinds of tasks by how easily they give way.
 func firstToGo(k kind) int { return slices.Index([]kind{fillingTask, shortTask, lastingTask}, k) }
 
@@ -251,8 +260,11 @@
 func (c *Cell) lapse(now cottonlanding.Millis) {
 	c.settleSuccessors(now)
 	for _, w := range c.sortedWorkers() {
-		if w.lapsed(now) {
+		switch {
+		case w.lapsed(now):
 			c.loseWorker(w, now, lossByLapse)
+		case w.unasked(now):
+			c.loseRuns(w, w.lastingOf(), now, lossByLapse)
 		}
 		if !w.listed && w.runs.size() == 0 {
 			c.forgetWorker(w.info.ID)
