Lease bounds outlive owners that never asked or wrote

What callers saw: a lasting task whose worker is lost is down for 12.1 to 13.25 s if one of the owners that follow each other lives for about a second, or is lost while it loads.

Cause: the first plan of an owner took off the bounds of workers that it had not asked yet, and only what the very owner before had written was used. Found in review.

Change: an inherited bound stays until its worker answers. The fence row tells from which epoch on all owners keep to bounds, so that those of an earlier owner hold behind one that wrote none. Where a row proves until when still older owners may have renewed leases, that alone is used: the end of the very owner before is less.

--- a/internal/workflow/driver/claim.go
+++ b/internal/workflow/driver/claim.go
@@ -19,6 +19,8 @@
 type fence struct {
 	// Epoch is that of the owner which wrote it.
 	Epoch cottonlanding.Epoch
+	// BoundsKeptSince is the epoch from which on all owners that have written the row keep to lease bounds.
+	BoundsKeptSince cottonlanding.Epoch `json:",omitempty"`
 }
 
 // errSuperseded reports that a later owner has written the fence.
@@ -26,44 +28,49 @@
 
 // claim writes the fence of this ownership, until that succeeds. From then on no owner
 // before commits anything, so that what is read afterwards stays.
-func (d *Driver) claim() (cottonlanding.Check, error) {
+func (d *Driver) claim() (cottonlanding.Check, fence, error) {
 	for {
-		check, err := d.tryClaim()
+		check, written, err := d.tryClaim()
 		if err == nil || errors.Is(err, errSuperseded) || d.ctx.Err() != nil {
-			return check, err
+			return check, written, err
 		}
 		d.deps.Log.Warn("claim the cell", "Epoch", d.setup.Epoch, "Error", err)
 		d.sleep(loadPause)
 	}
 }
 
-func (d *Driver) tryClaim() (cottonlanding.Check, error) {
+func (d *Driver) tryClaim() (cottonlanding.Check, fence, error) {
 	key := d.setup.Partition.Key(fenceRow)
 	rows, err := d.read(key)
 	if err != nil {
-		return cottonlanding.Check{}, err
+		return cottonlanding.Check{}, fence{}, err
 	}
-	write := cottonlanding.Write{Key: key, Value: encodeFence(fence{Epoch: d.setup.Epoch})}
+	next := fence{Epoch: d.setup.Epoch, BoundsKeptSince: d.setup.Epoch}
+	write := cottonlanding.Write{Key: key}
 	for _, row := range rows {
 		var before fence
 		if err := json.Unmarshal(row.Value, &before); err != nil {
-			return cottonlanding.Check{}, fmt.Errorf("row %s: %w", key, err)
+			return cottonlanding.Check{}, fence{}, fmt.Errorf("row %s: %w", key, err)
 		}
 		if before.Epoch == d.setup.Epoch {
-			return cottonlanding.Check{Key: key, Expect: row.Version}, nil // an answer was lost
+			return cottonlanding.Check{Key: key, Expect: row.Version}, before, nil // an answer was lost
 		}
 		if before.Epoch > d.setup.Epoch {
-			return cottonlanding.Check{}, fmt.Errorf("%w: epoch %d", errSuperseded, before.Epoch)
+			return cottonlanding.Check{}, fence{}, fmt.Errorf("%w: epoch %d", errSuperseded, before.Epoch)
 		}
 		write.Expect = row.Version
+		if before.BoundsKeptSince > 0 {
+			next.BoundsKeptSince = before.BoundsKeptSince
+		}
 	}
+	write.Value = encodeFence(next)
 	ctx, cancel := context.WithTimeout(d.ctx, tableTimeout.Duration())
 	defer cancel()
 	receipt, err := d.deps.Table.Commit(ctx, cottonlanding.Transaction{
 		ID:     cottonlanding.TransactionID(uuid.NewString()),
 		Writes: []cottonlanding.Write{write},
 	})
-	return cottonlanding.Check{Key: key, Expect: receipt.Version}, err
+	return cottonlanding.Check{Key: key, Expect: receipt.Version}, next, err
 }
 
 func encodeFence(value fence) []byte {
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -226,14 +226,14 @@
 }
 
 func (d *Driver) run() {
-	guard, err := d.claim()
+	guard, written, err := d.claim()
 	if err != nil {
 		if d.ctx.Err() == nil {
 			d.lose(err.Error())
 		}
 		return
 	}
-	d.setup.Guard = guard
+	d.setup.Guard, d.setup.BoundsKeptSince = guard, written.BoundsKeptSince
 	cell := d.load()
 	if cell == nil {
 		return
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -45,6 +45,9 @@
 	// BeforeOwnedUntil is the instant until which the very owner before surely owned the cell at most; zero if
 	// that isn't known.
 	BeforeOwnedUntil cottonlanding.Millis
+	// BoundsKeptSince is the epoch from which on all owners keep to the lease bounds that are written; zero if that
+	// isn't known. The driver sets it.
+	BoundsKeptSince cottonlanding.Epoch
 }
 
 // Cell holds all workflows, their tasks and the workers of one partition.
--- a/internal/workflow/planner/leasebounds.go
+++ b/internal/workflow/planner/leasebounds.go
@@ -18,8 +18,8 @@
 // one needn't count on a whole lease from the last renewal of one that was cut off.
 //
 // While a bound stands, the worker is granted no lease: an owner that hears from the worker first
-// takes the bound off. Owners of older code don't know of the row, so that only what the very owner
-// before has written is used: each owner writes what it goes on to hold anew.
+// takes the bound off. Owners of older code don't know of the row and grant leases all the same, so that
+// a row is used only if all owners since know of it.
 
 const (
 	// boundAfter is how long a worker is silent before its bound is written: a look that fails once
@@ -55,8 +55,7 @@
 	// version is that of the row, epoch that of the owner which wrote it.
 	version cottonlanding.Version
 	epoch   cottonlanding.Epoch
-	// older is when the leases of all owners before have ended, zero if nothing better is known than BeforeUntil
-	// tells. ownedUntil is until when this owner surely owns the cell, zero if it wasn't told.
+	// older is when the leases of all owners before have ended, zero if nothing is known but BeforeUntil. ownedUntil is until when this owner surely owns the cell, zero if it wasn't told.
 	older, ownedUntil cottonlanding.Millis
 	// tableSlow says that commits take long: a bound couldn't be taken off in time for the next lease.
 	tableSlow bool
@@ -103,11 +102,10 @@
 
 // ownersBound returns the instant by which the leases of all owners before have ended.
 func (c *Cell) ownersBound() cottonlanding.Millis {
-	bound := c.setup.BeforeUntil + stretched(c.timing.Lease)
 	if c.bounds.older > 0 {
-		return min(bound, c.bounds.older)
+		return c.bounds.older
 	}
-	return bound
+	return c.setup.BeforeUntil + stretched(c.timing.Lease)
 }
 
 // LoadLeaseBounds takes in the bounds that an owner before has written. It comes after all other rows. A row that
@@ -127,16 +125,17 @@
 	c.bounds.kept, c.bounds.epoch = written.Until, written.Epoch
 	c.inheritOlder(written)
 	for _, w := range c.sortedWorkers() {
-		w.bound = min(w.bound, max(now, c.ownersBound()))
+		w.bound = max(now, c.ownersBound())
 		c.inheritBound(w, now)
 	}
 	return nil
 }
 
-// boundsHold reports whether bounds can be used: they are of the owner just before, and the table's clock has gone
-// on since.
+// boundsHold reports whether bounds can be used: all owners since have kept to them, and the table's clock has gone
+// on.
 func (c *Cell) boundsHold(written boundsRow, now cottonlanding.Millis) bool {
-	return c.bounds.clock != nil && written.Epoch+1 == c.setup.Epoch && c.bounds.clock.Latest(now) >= written.Written
+	kept := c.setup.BoundsKeptSince > 0 && written.Epoch >= c.setup.BoundsKeptSince
+	return c.bounds.clock != nil && kept && c.bounds.clock.Latest(now) >= written.Written
 }
 
 // inheritOlder works out when the leases of all owners before have ended, from what the last of them has written.
@@ -166,6 +165,9 @@
 	return b.unread || kept || planned
 }
 
+// staysSilent reports whether the worker has given this owner no answer, or none lately.
+func (w *worker) staysSilent() bool { return w.answered == 0 || w.failed }
+
 // silentForLong reports whether the worker has given this owner no answer for so long that its bound is
 // written. One that is neither listed nor ever answered is not even asked.
 func (w *worker) silentForLong(now cottonlanding.Millis) bool {
@@ -185,7 +187,8 @@
 	for _, w := range c.sortedWorkers() {
 		id := w.info.ID
 		shown, kept := c.bounds.kept[id]
-		if w.runs.size() == 0 || !w.silentForLong(now) || c.bounds.tableSlow && !kept {
+		isNew := !kept && w.silentForLong(now) && !c.bounds.tableSlow
+		if w.runs.size() == 0 || !isNew && !(kept && w.staysSilent()) {
 			continue
 		}
 		size += len(id) + boundBytes
--- a/internal/workflow/planner/leasebounds_test.go
+++ b/internal/workflow/planner/leasebounds_test.go
@@ -166,6 +166,7 @@
 	written.Version = w.rows[key].Version
 	w.rows[key] = written // as if the owner in between had left the row alone
 	w.epoch++
+	w.boundsKeptSince = w.epoch + 1
 	w.runner.Dark("w1", true)
 	w.takeOverFrom(w.now + ownerSeenGone)
 	for range 200 {
--- /dev/null
+++ b/internal/workflow/planner/ownersinseries_test.go
@@ -0,0 +1,194 @@
+package planner_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+)
+
+// lastingOnEach is a step with a lasting task for each worker.
+var lastingOnEach = cottonlanding.Step{Tasks: 4, Lasting: true, Resources: cottonlanding.Resources{CPU: 2000, Memory: cottonlanding.Gigabyte}}
+
+// newLastingWorld returns a world with a lasting task on each worker.
+func newLastingWorld(t require.TestingT) *world {
+	w := newOwnedWorld(t)
+	w.play(cottonlanding.Second)
+	w.submit("lasts", "Urgent", lastingOnEach)
+	w.play(4 * cottonlanding.Second)
+	require.Equal(t, 4, w.runner.Lasting())
+	return w
+}
+
+// killOwner has the owner be gone, and the next one come after a while.
+func (w *world) killOwner(gap cottonlanding.Millis, watch func()) {
+	killed := w.now
+	for w.now < killed+gap {
+		w.now += turnSpan
+		watch()
+	}
+	w.takeOverFrom(killed + ownerSeenGone)
+}
+
+// turnHanging is a turn in which looks at a worker hang for a while before they fail.
+func (w *world) turnHanging(id cottonlanding.WorkerID, hangsSince *cottonlanding.Millis, lookTakes cottonlanding.Millis) {
+	w.decide(turnSpan)
+	for _, info := range w.workers {
+		if info.ID != id {
+			w.look(info.ID, true)
+			continue
+		}
+		if *hangsSince == 0 {
+			*hangsSince = w.now
+		}
+		if w.now-*hangsSince >= lookTakes {
+			w.look(id, true)
+			*hangsSince = w.now
+		}
+	}
+}
+
+// TestBoundsOutliveAnOwnerThatNeverAsked: an owner that was lost before it had asked a silent worker took off the bound that it had
+// inherited, so that the next one waited anew.
+func TestBoundsOutliveAnOwnerThatNeverAsked(t *testing.T) {
+	for _, lives := range []cottonlanding.Millis{200, 500, 1000, 1500} {
+		for _, unlist := range []bool{true, false} {
+			t.Run(fmt.Sprintf("the next one lives %s, unlisted %t", lives, unlist), func(t *testing.T) {
+				w := newLastingWorld(t)
+				w.lose("w1")
+				lost := w.now
+				hang := cottonlanding.Millis(0)
+				run := func(until cottonlanding.Millis) {
+					for w.now < until {
+						w.turnHanging("w1", &hang, cottonlanding.Second)
+						if unlist && w.now-lost == 4500 {
+							w.delist("w1")
+						}
+					}
+				}
+				run(lost + 2500)
+				w.killOwner(600, func() {})
+				hang = 0
+				began := w.now
+				run(began + lives)
+				w.killOwner(600, func() {})
+				hang = 0
+				for w.runner.Lasting() < 4 && w.now < lost+cottonlanding.Minute {
+					run(w.now + turnSpan)
+				}
+				require.Empty(t, w.runner.Violations())
+				require.LessOrEqual(t, w.now-lost, 9*cottonlanding.Second)
+			})
+		}
+	}
+}
+
+// TestBoundsOutliveAnOwnerThatWroteNothing: an owner that was lost while it loaded the rows made the bounds useless that the one before
+// had written.
+func TestBoundsOutliveAnOwnerThatWroteNothing(t *testing.T) {
+	w := newLastingWorld(t)
+	w.lose("w1")
+	lost := w.now
+	w.play(2500)
+	w.killOwner(600, func() {})
+	w.now += 700 // the next one loads
+	w.killOwner(600, func() {})
+	for w.runner.Lasting() < 4 && w.now < lost+cottonlanding.Minute {
+		w.turn(turnSpan)
+		if w.now-lost >= 4500 && len(w.workers) == 4 {
+			w.delist("w1")
+		}
+	}
+	require.LessOrEqual(t, w.now-lost, 9*cottonlanding.Second)
+}
+
+// TestListedSilentWorkersAreGivenUpInTime: each new owner first asked a worker that was cut off for three seconds, so that its lasting tasks
+// stayed down for as long as owners changed.
+func TestListedSilentWorkersAreGivenUpInTime(t *testing.T) {
+	for _, every := range []cottonlanding.Millis{2500, 3000, 3500, 4000} {
+		t.Run(fmt.Sprint(every), func(t *testing.T) {
+			w := newLastingWorld(t)
+			w.runner.Dark("w1", true)
+			hang := cottonlanding.Millis(0)
+			next, changes := w.now+1000, 4
+			down, longest := cottonlanding.Millis(0), cottonlanding.Millis(0)
+			for end := w.now + 40*cottonlanding.Second; w.now < end; {
+				if w.now >= next && changes > 0 {
+					changes--
+					next = w.now + every
+					w.killOwner(600, func() {})
+					hang = 0
+				}
+				w.turnHanging("w1", &hang, cottonlanding.Second)
+				if w.runner.Lasting() < 4 && down == 0 {
+					down = w.now
+				}
+				if down > 0 && w.runner.Lasting() == 4 {
+					longest = max(longest, w.now-down)
+					down = 0
+				}
+				require.Empty(t, w.runner.Violations())
+			}
+			require.LessOrEqual(t, longest, 9*cottonlanding.Second)
+		})
+	}
+}
+
+// TestOlderOwnersAreCountedOn: an owner went by the end of the one before alone, and gave up runs whose leases a still older one, which
+// was cut off, had renewed for longer.
+func TestOlderOwnersAreCountedOn(t *testing.T) {
+	w := newLastingWorld(t)
+	// The first owner may own the cell for 4 s more by its last beat, and is cut off from the table.
+	w.ownedFor = 4000
+	w.tellOwned()
+	firstUntil := w.now + 4000
+	firstCell := w.cell
+	firstLook := func() {
+		if w.now >= firstUntil+2000 {
+			return
+		}
+		if next, found := firstCell.NextLook("w1", w.now); found && next.After == 0 {
+			if report, err := w.runner.Look(context.Background(), next.Worker, next.Look); err == nil {
+				firstCell.Looked(next, report, w.now, w.now)
+			}
+		}
+	}
+	w.now += 400
+	// The second one reaches all workers but w1, which answers the first.
+	w.ownedFor = ownerTimeToLive
+	w.takeOverFrom(firstUntil + 2000)
+	step := func() {
+		w.decide(turnSpan)
+		for _, info := range w.workers {
+			w.lookUnless(info.ID, "w1")
+		}
+		firstLook()
+		require.Empty(t, w.runner.Violations())
+	}
+	for range 6 {
+		step()
+	}
+	killed := w.now
+	for range 12 {
+		w.now += turnSpan
+		firstLook()
+	}
+	w.takeOverFrom(killed + ownerSeenGone)
+	for range 400 {
+		step()
+	}
+}
+
+// lookUnless looks at a worker, or fails the look.
+func (w *world) lookUnless(id, silent cottonlanding.WorkerID) {
+	if id != silent {
+		w.look(id, true)
+		return
+	}
+	if next, found := w.cell.NextLook(id, w.now); found && next.After == 0 {
+		w.cell.LookFailed(next, cottonlanding.ErrAmbiguous, w.now)
+	}
+}
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -78,6 +78,8 @@
 	texts *textBook
 	// ownedFor is for how long owners surely own the cell after each turn; zero doesn't tell them.
 	ownedFor cottonlanding.Millis
+	// boundsKeptSince is from which epoch on owners keep to lease bounds, by default the first.
+	boundsKeptSince cottonlanding.Epoch
 }
 
 func newWorld(t require.TestingT) *world { return newWorldOf(t, selector.Default().Planner) }
@@ -153,7 +155,7 @@
 	}
 	w.epoch++
 	w.plan = nil
-	setup := planner.Setup{Partition: partition, Epoch: w.epoch, BeforeUntil: before}
+	setup := planner.Setup{Partition: partition, Epoch: w.epoch, BeforeUntil: before, BoundsKeptSince: max(1, w.boundsKeptSince)}
 	if w.ownedFor > 0 {
 		setup.BeforeOwnedUntil = before - w.timing.CutOffGrace
 	}
