Log: each kind of line has a share of the bound

Change: a logger is for lines of one kind (Requests, Tasks, Lasting, Owners, General), chosen by whoever logs; General lines of level Warn and above are Warnings. Each kind has lines and waiting bytes of its own, which sum up to two thirds of the bounds; the last third goes to whoever asks first. The sum stays 1,500 lines a second and 1 MB. `log lines dropped` names the kinds with their counts, and the time. A line costs no parsing: the kind is in the handler.

--- a/internal/log/writer/writer.go
+++ b/internal/log/writer/writer.go
@@ -21,16 +21,23 @@
 	maxWaiting = 1 << 20
 )
 
+var (
+	lineShares = newShares(linesPerSecond)
+	byteShares = newShares(maxWaiting)
+)
+
 // Writer collects lines and writes them from one goroutine. Lines beyond its
-// bounds are dropped, counted, and the count is written.
+// bounds are dropped, counted by kind, and the counts are written.
 type Writer struct {
 	out io.Writer
 
 	mu      sync.Mutex
 	waiting []byte
 	window  time.Time
-	lines   int
-	dropped int
+	// lines is what was taken of lineShares in this window, bytes what waits of byteShares.
+	lines   use
+	bytes   use
+	dropped [kinds]int
 
 	stop  chan struct{}
 	ended chan struct{}
@@ -46,22 +53,26 @@
 	return w
 }
 
-// Write implements io.Writer for a log handler that writes one line a call. It
+// Write implements io.Writer for a log handler that writes one line a call, of no kind: it takes of all shares. It
 // never fails and never blocks.
 func (w *Writer) Write(line []byte) (int, error) {
+	w.write(General, line, (*use).takeAny)
+	return len(line), nil
+}
+
+// write takes a line of a kind as far as its shares allow. It never blocks.
+func (w *Writer) write(kind Kind, line []byte, take func(*use, Kind, int, shares) bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	now := time.Now()
 	if now.Sub(w.window) >= time.Second {
-		w.window, w.lines = now, 0
+		w.window, w.lines = now, use{}
 	}
-	w.lines++
-	if w.lines > linesPerSecond || len(w.waiting)+len(line) > maxWaiting {
-		w.dropped++
-		return len(line), nil
+	if !take(&w.lines, kind, 1, lineShares) || !take(&w.bytes, kind, len(line), byteShares) {
+		w.dropped[kind]++
+		return
 	}
 	w.waiting = append(w.waiting, line...)
-	return len(line), nil
 }
 
 // Close writes what waits.
@@ -87,13 +98,27 @@
 func (w *Writer) flush() {
 	w.mu.Lock()
 	lines, dropped := w.waiting, w.dropped
-	w.waiting, w.dropped = nil, 0
+	w.waiting, w.bytes, w.dropped = nil, use{}, [kinds]int{}
 	w.mu.Unlock()
-	if dropped > 0 {
-		lines = fmt.Appendf(lines, "{\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"Count\":%d}\n", dropped)
-	}
+	lines = appendDropped(lines, dropped)
 	if len(lines) == 0 {
 		return
 	}
 	_, _ = w.out.Write(lines) // there is nowhere to tell that nobody reads
 }
+
+// appendDropped appends a line that tells how many lines were dropped, of each kind, if any were.
+func appendDropped(lines []byte, dropped [kinds]int) []byte {
+	sum, counts := 0, ""
+	for kind, count := range dropped {
+		if count > 0 {
+			sum += count
+			counts += fmt.Sprintf(",%q:%d", Kind(kind), count)
+		}
+	}
+	if sum == 0 {
+		return lines
+	}
+	return fmt.Appendf(lines, "{\"time\":%q,\"level\":\"WARN\",\"msg\":\"log lines dropped\",\"Count\":%d%s}\n",
+		time.Now().Format(time.RFC3339Nano), sum, counts)
+}
