Lines of calls, tasks, lasting tasks and owners are told apart

Seen by operators: in a busy second the lines of thousands of short tasks hid what became of lasting ones.

Stops and ends of single lasting runs, failed and cancelled workflows stay General, which keeps a share as well.

--- a/internal/coordination/holder/holder.go
+++ b/internal/coordination/holder/holder.go
@@ -26,6 +26,7 @@
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/duty/repeater"
+	"github.com/cottonlanding/cottonlanding/internal/log/writer"
 )
 
 const (
@@ -130,7 +131,7 @@
 		cell:      cell,
 		self:      self,
 		timing:    timing,
-		log:       deps.Log.With("Cell", cell),
+		log:       writer.Of(deps.Log, writer.Owners).With("Cell", cell),
 		connected: true,
 	}
 	made := make(chan struct{}) // a step nudges the duty
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -48,6 +48,7 @@
 	timing Timing
 	policy Policy
 	log    *slog.Logger
+	logs   kindLogs
 	queues cottonlanding.Queues
 	// silentSince holds the data centres that are silent, and since when.
 	silentSince map[cottonlanding.DataCentre]cottonlanding.Millis
@@ -170,6 +171,7 @@
 		timing:      timing,
 		policy:      policy,
 		log:         log,
+		logs:        newKindLogs(log),
 		jobs:        make(map[cottonlanding.WorkflowID]*job),
 		workers:     make(map[cottonlanding.WorkerID]*worker),
 		silentSince: make(map[cottonlanding.DataCentre]cottonlanding.Millis),
--- a/internal/workflow/planner/downtime.go
+++ b/internal/workflow/planner/downtime.go
@@ -209,7 +209,7 @@
 		for _, line := range lines {
 			tasks = append(tasks, line.String())
 		}
-		c.log.Info(several, at.key, at.value, "Tasks", tasks, "Epoch", c.setup.Epoch)
+		c.logs.lasting.Info(several, at.key, at.value, "Tasks", tasks, "Epoch", c.setup.Epoch)
 		return
 	}
 	line := lines[0]
@@ -217,7 +217,7 @@
 	for _, field := range line.fields {
 		values = append(values, field.key, field.value)
 	}
-	c.log.Info(one, append(values, "Epoch", c.setup.Epoch)...)
+	c.logs.lasting.Info(one, append(values, "Epoch", c.setup.Epoch)...)
 }
 
 // String returns the line as an entry of a list: task#run and its fields.
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -246,7 +246,7 @@
 	c.touch(j)
 	c.counts.Accepted++
 	c.replies[j.ID] = append(c.replies[j.ID], done)
-	c.log.Info("workflow accepted", "Workflow", j.ID, "Queue", j.Queue, "Steps", len(j.Steps),
+	c.logs.tasks.Info("workflow accepted", "Workflow", j.ID, "Queue", j.Queue, "Steps", len(j.Steps),
 		"Queues", c.queues.Version, "Epoch", c.setup.Epoch)
 }
 
@@ -344,7 +344,7 @@
 	})
 	c.order = slices.DeleteFunc(c.order, func(other *job) bool { return other == j })
 	c.touch(j)
-	c.log.Info(j.endedLine(), "Workflow", j.ID, "State", state, "Reason", reason, "After", now-j.accepted)
+	c.logs.ofEnd(state).Info(j.endedLine(), "Workflow", j.ID, "State", state, "Reason", reason, "After", now-j.accepted)
 }
 
 // prune forgets workflows that were final for long enough, and what they have waited for.
--- a/internal/workflow/planner/logbatch.go
+++ b/internal/workflow/planner/logbatch.go
@@ -11,6 +11,8 @@
 type logBatch struct {
 	placed []string
 	ended  []string
+	// lasting says that the tasks that were placed are of a lasting step.
+	lasting bool
 	// waited is the longest wait among placed, lookAge the age of the oldest answer
 	// of a worker among them.
 	waited  cottonlanding.Millis
@@ -20,6 +22,7 @@
 // recordPlaced adds a task that was given to a worker.
 func (s *logBatch) recordPlaced(t *task, w *worker, now cottonlanding.Millis) {
 	s.placed = append(s.placed, fmt.Sprintf("%s#%d@%s", t.ref, t.number, w.info.ID))
+	s.lasting = t.stage.Lasting
 	s.waited = max(s.waited, now-t.since)
 	s.lookAge = max(s.lookAge, now-w.answered)
 }
@@ -28,7 +31,11 @@
 func (c *Cell) logPlaced() {
 	s := &c.logBatch
 	if len(s.placed) > 0 {
-		c.log.Info("tasks placed", "Tasks", s.placed, "LongestWait", s.waited, "OldestLook", s.lookAge)
+		log := c.logs.tasks
+		if s.lasting {
+			log = c.logs.lasting
+		}
+		log.Info("tasks placed", "Tasks", s.placed, "LongestWait", s.waited, "OldestLook", s.lookAge)
 	}
 	s.placed, s.waited, s.lookAge = nil, 0, 0
 }
@@ -41,7 +48,7 @@
 		c.logBatch.ended = append(c.logBatch.ended, line)
 		return
 	}
-	c.log.Info("stopped run ended", "Task", r.Task.String(), "Run", r.Number, "Worker", r.worker.info.ID, "End", end.Kind,
+	c.logs.of(r.step).Info("stopped run ended", "Task", r.Task.String(), "Run", r.Number, "Worker", r.worker.info.ID, "End", end.Kind,
 		"Serial", end.Serial, "Reason", r.stopReason, "After", now-r.placedAt, "MarkedBefore", now-r.stopSince,
 		"SentBefore", r.stopSentBefore(now), "Tries", r.stopTries)
 }
@@ -58,7 +65,7 @@
 // logEnded logs the runs of a worker that ended by themselves, each as task#run.
 func (c *Cell) logEnded(w *worker) {
 	if len(c.logBatch.ended) > 0 {
-		c.log.Info("runs ended", "Worker", w.info.ID, "Ends", c.logBatch.ended, "Serial", w.noted)
+		c.logs.tasks.Info("runs ended", "Worker", w.info.ID, "Ends", c.logBatch.ended, "Serial", w.noted)
 	}
 	c.logBatch.ended = nil
 }
@@ -99,7 +106,7 @@
 // that worker has listed for that run was altered on its way; two lines of one run with two
 // texts say that its start was repeated with another one.
 func (c *Cell) logCheckpoint(w *worker, r *run, from knownCheckpoint, now cottonlanding.Millis) {
-	c.log.Info("start continues from a checkpoint", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Checkpoint", from.text,
+	c.logs.of(r.step).Info("start continues from a checkpoint", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Checkpoint", from.text,
 		"How", from.how, "Of", from.run, "By", from.worker, "Before", now-from.at, "Repeated", r.doubtful)
 }
 
--- /dev/null
+++ b/internal/workflow/planner/logkinds.go
@@ -0,0 +1,37 @@
+package planner
+
+import (
+	"log/slog"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/log/writer"
+)
+
+// kindLogs are the loggers of a cell by what their lines are about.
+type kindLogs struct {
+	general *slog.Logger
+	// tasks is for the usual course of workflows and of tasks that end.
+	tasks *slog.Logger
+	// lasting is for lasting tasks that don't run, in few lines.
+	lasting *slog.Logger
+}
+
+func newKindLogs(log *slog.Logger) kindLogs {
+	return kindLogs{general: log, tasks: writer.Of(log, writer.Tasks), lasting: writer.Of(log, writer.Lasting)}
+}
+
+// of returns the logger for lines about single runs of a step.
+func (l kindLogs) of(step cottonlanding.Step) *slog.Logger {
+	if step.Lasting {
+		return l.general
+	}
+	return l.tasks
+}
+
+// ofEnd returns the logger for the end of a workflow: that one succeeded is the usual course.
+func (l kindLogs) ofEnd(state cottonlanding.WorkflowState) *slog.Logger {
+	if state == cottonlanding.WorkflowSucceeded {
+		return l.tasks
+	}
+	return l.general
+}
--- /dev/null
+++ b/internal/workflow/planner/logkinds_test.go
@@ -0,0 +1,42 @@
+package planner_test
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/log/writer"
+)
+
+// TestBusySecondTellsLastingTasks guards against a log in which the lines of thousands of short tasks hide what became
+// of lasting ones: the busiest second tells which of them are down, which run again, and why workers were lost.
+func TestBusySecondTellsLastingTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) { // in which all is written within one second of the log
+		w := newSpreadWorld(t)
+		out := &bytes.Buffer{}
+		lines := writer.New(out)
+		w.log = slog.New(lines.Handler(nil))
+		w.takeOver()
+		w.play(cottonlanding.Second)
+		w.submit("lasting", "Urgent", lasting(8, 2, 3000))
+		w.play(cottonlanding.Second)
+		for number := range 2000 {
+			w.submit(cottonlanding.WorkflowID(fmt.Sprintf("b%d", number)), "Bulk", short(100))
+		}
+		w.play(2 * cottonlanding.Second)
+		w.crash(0)
+		w.join()
+		w.play(runAgainWithin)
+		require.True(t, w.runsAll("lasting", 8))
+		lines.Close()
+		require.NotEmpty(t, linesOf(t, out, "log lines dropped"), "it is the busiest second")
+		require.Len(t, linesOf(t, out, "lasting tasks down"), 1)
+		require.Len(t, linesOf(t, out, "lasting tasks run again", "lasting task runs again"), 1)
+		require.Len(t, linesOf(t, out, "worker lost"), 1)
+	})
+}
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -160,7 +160,7 @@
 		stopped := r.stopping && r.ruledOutAt > 0 && r.ruledOutAt < sentAt
 		gone := r.phase == started && r.ackedAt < sentAt
 		if stopped || gone {
-			c.log.Info("run gone", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Born", w.born, "Stopped", stopped)
+			c.logs.of(r.step).Info("run gone", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Born", w.born, "Stopped", stopped)
 			c.vanish(r, now)
 		}
 	}
--- a/internal/workflow/planner/missed.go
+++ b/internal/workflow/planner/missed.go
@@ -46,7 +46,7 @@
 			c.logNotStarted(d.task.run, now)
 			continue
 		}
-		c.logGates(d.task, now)
+		c.logGates(c.logs.lasting, d.task, now)
 	}
 }
 
@@ -64,7 +64,7 @@
 // logNotStarted logs what is known of a run that was placed and isn't known to go on.
 func (c *Cell) logNotStarted(r *run, now cottonlanding.Millis) {
 	w := r.worker
-	c.log.Info("placed task doesn't run", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "PlacedBefore", now-r.placedAt,
+	c.logs.lasting.Info("placed task doesn't run", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "PlacedBefore", now-r.placedAt,
 		"Phase", r.phase.String(), "SentBefore", spanSince(r.sentAt, now), "Copies", r.unseenCopies, "Ordered", r.ordered, "Doubtful", r.doubtful,
 		"Reason", r.stopReason, "StopTaken", r.stopAcked > 0, "LastAnswer", spanSince(w.answered, now), "Silent", w.failed,
 		"Cordoned", w.cordoned(), "StartsHeld", c.startsHeld, "MayStart", r.task.job.mayStart(now))
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -191,7 +191,7 @@
 	}
 	r.recordAnswered(order.Verb)
 	if err != nil {
-		c.log.Warn("order not taken", "Verb", order.Verb, "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Error", err)
+		c.logs.tasks.Warn("order not taken", "Verb", order.Verb, "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "Error", err)
 	}
 	switch {
 	case errors.Is(err, cottonlanding.ErrOtherLife):
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -165,7 +165,7 @@
 	r.stopping, r.stopReason, r.stopSince = true, reason, now
 	r.unwanted.Store(true)
 	r.worker.changed()
-	c.log.Info("run to be stopped", "Task", r.Task.String(), "Run", r.Number, "Worker", r.worker.info.ID, "Reason", reason)
+	c.logs.of(r.step).Info("run to be stopped", "Task", r.Task.String(), "Run", r.Number, "Worker", r.worker.info.ID, "Reason", reason)
 }
 
 // dropUnsent ends the runs that were never sent and are to be stopped, or whose
@@ -216,7 +216,7 @@
 			return
 		}
 		free = free.Plus(r.step.Reserved())
-		c.log.Info("start taken back", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "CPU", int64(w.info.Capacity.CPU),
+		c.logs.of(r.step).Info("start taken back", "Task", r.Task.String(), "Run", r.Number, "Worker", w.info.ID, "CPU", int64(w.info.Capacity.CPU),
 			"Memory", w.info.Capacity.Memory.String(), "Sent", r.phase == sent)
 		if r.phase == sent {
 			c.stop(r, "its worker's room has shrunk", now) // it may wait behind others, and isn't sent then
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"log/slog"
 	"slices"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -64,14 +65,14 @@
 // logWaiting logs why a step's tasks have no worker yet. Those that are missed are told one by one.
 func (c *Cell) logWaiting(t *task, now cottonlanding.Millis) {
 	if t.downtime == nil && t.tellsWaiting(now) {
-		c.logGates(t, now)
+		c.logGates(c.logs.tasks, t, now)
 	}
 }
 
 // logGates logs how many workers are ruled out for a task by what.
-func (c *Cell) logGates(t *task, now cottonlanding.Millis) {
+func (c *Cell) logGates(log *slog.Logger, t *task, now cottonlanding.Millis) {
 	counts := c.countGates(t, now)
-	c.log.Info("step waits", "Task", t.ref.String(), "Run", t.number, "Waited", now-t.since, "Workers", len(c.workers),
+	log.Info("step waits", "Task", t.ref.String(), "Run", t.number, "Waited", now-t.since, "Workers", len(c.workers),
 		"Unusable", counts[unusableGate], "Barred", counts[barredGate], "Full", counts[fullGate], "KeptForOther", counts[keptForOtherGate],
 		"KeptApart", counts[keptApartGate], "Due", counts[dueGate], "WouldDisturb", counts[disturbGate], "Fits", counts[noGate],
 		"MayStart", t.job.mayStart(now), "CPU", int64(t.stage.Resources.CPU), "Memory", t.stage.Resources.Memory.String())
