Planner: a placed task that doesn't run is told soon after its wait

Seen: a lasting task whose wait for a worker had just been told, and that then got one where its start hung, had its next line up to four seconds later.

Change: the four seconds between two lines count for the same reason only.

Test: TestPlacedTaskIsToldAfterItsWait, 0 lines on the code before, now 1 after one second.

--- a/internal/workflow/planner/downtime.go
+++ b/internal/workflow/planner/downtime.go
@@ -17,8 +17,9 @@
 	ranAt, since cottonlanding.Millis
 	// told says that it was logged: not before it's known that the task may have run, and runs no more.
 	told bool
-	// toldAt is when it was last logged what holds the task back.
-	toldAt cottonlanding.Millis
+	// toldAt is when it was last logged what holds the task back, toldPlaced that it had a worker then.
+	toldAt     cottonlanding.Millis
+	toldPlaced bool
 }
 
 // downtimes holds the downtimes of a cell, and what of their beginnings and ends is to be logged.
--- a/internal/workflow/planner/missed.go
+++ b/internal/workflow/planner/missed.go
@@ -40,7 +40,7 @@
 	}
 	slices.SortStableFunc(due, func(a, b *downtime) int { return cmp.Compare(a.toldAt, b.toldAt) })
 	for _, d := range due[:min(left, len(due))] {
-		d.toldAt = now
+		d.toldAt, d.toldPlaced = now, d.task.run != nil
 		c.downtimes.budget.lines++
 		if d.task.run != nil {
 			c.logNotStarted(d.task.run, now)
@@ -52,7 +52,8 @@
 
 // tells reports whether it's time to log what holds the task back.
 func (d *downtime) tells(now cottonlanding.Millis) bool {
-	if d.over() || d.toldAt > 0 && now-d.toldAt < logWaitingEvery {
+	sameReason := d.toldPlaced == (d.task.run != nil)
+	if d.over() || sameReason && d.toldAt > 0 && now-d.toldAt < logWaitingEvery {
 		return false
 	}
 	if r := d.task.run; r != nil {
--- a/internal/workflow/planner/missed_test.go
+++ b/internal/workflow/planner/missed_test.go
@@ -86,6 +86,26 @@
 	require.Empty(t, waitsOf(t, log, ref.String()), "it waits for no worker")
 }
 
+// TestPlacedTaskIsToldAfterItsWait guards against a start that hangs for seconds without a line, since the wait for a
+// worker before it was told just now.
+func TestPlacedTaskIsToldAfterItsWait(t *testing.T) {
+	w := newSpreadWorld(t)
+	log := w.listen()
+	w.play(cottonlanding.Second)
+	w.submit("lasting", "Urgent", lasting(4, 1, 6000))
+	w.play(cottonlanding.Second)
+	w.leave(0)
+	ref := cottonlanding.TaskRef{Workflow: "lasting", Index: w.idle("lasting")}
+	w.play(cottonlanding.Second)
+	require.Len(t, waitsOf(t, log, ref.String()), 1)
+	w.cell.HoldStarts(true)
+	w.join()
+	w.play(500)
+	lines := linesOf(t, log, "placed task doesn't run")
+	require.Len(t, lines, 1)
+	require.InDelta(t, float64(cottonlanding.Second), lines[0]["PlacedBefore"], float64(turnSpan))
+}
+
 // TestMissedTasksAreToldInTurns guards against a log that grows with the tasks that wait, or tells the same ones again
 // and again.
 func TestMissedTasksAreToldInTurns(t *testing.T) {
