A delegated task counts as down from its last run in the guest cell

In its keeper's cell a task that another cell had run counted as down since before it was delegated. Once it came back it would have gone before all others at once, taken rooms kept for them, and waited for nothing that protects suspects.

Cause: the keeper's own looks don't show that the task is at work. A guest cell that takes a task again counts anew.

--- a/internal/workflow/planner/delegation.go
+++ b/internal/workflow/planner/delegation.go
@@ -307,6 +307,7 @@
 		return // an answer that was overtaken
 	}
 	if told.Running {
+		t.seenAt = now
 		c.recordDelegateRuns(j)
 	}
 	if !told.Returned || told.Number == t.number || j.state.Final() {
--- a/internal/workflow/planner/down.go
+++ b/internal/workflow/planner/down.go
@@ -34,7 +34,7 @@
 // downSince returns when the task was last known to run or, if it never did, when it began to wait.
 func (t *task) downSince() cottonlanding.Millis {
 	if t.seenAt > 0 {
-		return min(t.seenAt, t.since)
+		return t.seenAt
 	}
 	return t.since
 }
--- a/internal/workflow/planner/export_test.go
+++ b/internal/workflow/planner/export_test.go
@@ -75,3 +75,8 @@
 
 // OpenLives counts the workers of which the cell waits for news.
 func (c *Cell) OpenLives() int { return len(c.open) }
+
+// DownFor returns how long a task hasn't been seen at work.
+func (c *Cell) DownFor(ref cottonlanding.TaskRef, now cottonlanding.Millis) cottonlanding.Millis {
+	return now - c.jobs[ref.Workflow].task(ref).downSince()
+}
--- a/internal/workflow/planner/guest.go
+++ b/internal/workflow/planner/guest.go
@@ -141,7 +141,7 @@
 // takeGuest begins to hold a task for its keeper.
 func (c *Cell) takeGuest(t *task, told DelegatedTask, now cottonlanding.Millis) {
 	t.setAway(taskWaiting)
-	t.number, t.crashes, t.since = told.Number, told.Crashes, now
+	t.number, t.crashes, t.since, t.seenAt = told.Number, told.Crashes, now, 0
 	t.stage.ready = true
 	t.takeCheckpoint(told, now)
 	c.touch(t.job)
--- a/internal/workflow/planner/lastingwaits_test.go
+++ b/internal/workflow/planner/lastingwaits_test.go
@@ -202,3 +202,18 @@
 	require.Less(t, down, startWithin)
 	require.Empty(t, w.runner.Violations())
 }
+
+// TestDelegatedTaskIsDownFromItsLastRun: in its keeper's cell, a task that another cell ran counted as down since before it
+// was delegated, so that it went before others and took kept room at once when it came back.
+func TestDelegatedTaskIsDownFromItsLastRun(t *testing.T) {
+	n, question := delegated(t)
+	for range 120 {
+		question.Last = n.answerOf(question).Stamp
+		n.cells[1].turn(100)
+		n.syncClocks()
+	}
+	require.Equal(t, 4, n.runsIn(1))
+	for _, task := range question.Workflows[0].Tasks {
+		require.LessOrEqual(t, n.cells[0].cell.DownFor(task.Ref, n.cells[0].now), cottonlanding.Second)
+	}
+}
