Starts don't put off the loss of a worker that falls silent

A lasting task that was lost with a silent worker was placed anew later by up to as much as a look takes to fail, 1.8 s, if the worker was given starts meanwhile.

Cause: each start extended the lease by which all runs there surely end, also while the look under way got no answer. Ruled out: to have starts extend no lease, since a worker without runs has none.

A start to a worker whose last answer listed runs extends the lease only if a third of it is used up, which takes longer than a look to fail.

--- a/internal/workflow/planner/lastingwaits_test.go
+++ b/internal/workflow/planner/lastingwaits_test.go
@@ -217,3 +217,38 @@
 		require.LessOrEqual(t, n.cells[0].cell.DownFor(task.Ref, n.cells[0].now), cottonlanding.Second)
 	}
 }
+
+// TestStartsDontHoldUpLossOfASilentWorker: each start that went to a worker until a look at it had failed, two seconds
+// after its last answer, extended the lease by which the runs of the owner there surely end, so that a lasting task on
+// a worker that gets starts all the time was known to be lost as much later.
+func TestStartsDontHoldUpLossOfASilentWorker(t *testing.T) {
+	const lookFailsAfter = 1800 * cottonlanding.Millis(1)
+	w := lastingWorld(t)
+	at := slices.IndexFunc(w.workers, func(info cottonlanding.WorkerInfo) bool { return w.runner.RunsOn(info.ID) == 2 })
+	silent := w.workers[at].ID
+	w.labelAll()
+	w.workers[at].Labels = []cottonlanding.Label{"Silent"}
+	w.relist()
+	w.turn(turnSpan)
+	w.runner.Crash(silent)
+	crashed := w.now
+	unanswered, _ := w.cell.NextLook(silent, w.now)
+	require.Positive(t, unanswered.Look.LeaseUntil)
+	for number := 0; w.now-crashed < lookFailsAfter; number++ {
+		step := short(100)
+		step.Requires = "Silent"
+		w.submit(cottonlanding.WorkflowID(fmt.Sprintf("b%d", number)), "Urgent", step)
+		w.decide(turnSpan)
+		for _, worker := range w.workers {
+			if worker.ID != silent {
+				w.look(worker.ID, true)
+			}
+		}
+	}
+	w.cell.LookFailed(unanswered, cottonlanding.ErrAmbiguous, w.now)
+	for w.now-crashed < startWithin && !w.runs("lasting", 0) {
+		w.turn(turnSpan)
+	}
+	require.Less(t, w.now-crashed, timing.Lease+cottonlanding.Second)
+	require.Empty(t, w.runner.Violations())
+}
--- a/internal/workflow/planner/look.go
+++ b/internal/workflow/planner/look.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"github.com/cottonlanding/cottonlanding"
 )
@@ -19,6 +20,27 @@
 	return w.granted
 }
 
+// startLeaseUsed is the part of a lease, as a divisor, that must be used up for a start to extend it: more than a look takes
+// to fail.
+const startLeaseUsed = 3
+
+// startLease is leaseUntil for a start. One that goes to a worker with runs, whose looks renew the lease, extends it only
+// if much of it is used up: otherwise each start to a worker that has just fallen silent would put off when its runs have
+// surely ended.
+func (c *Cell) startLease(w *worker, now cottonlanding.Millis) cottonlanding.Reading {
+	reading := w.reading + cottonlanding.Reading(now-w.readAt)
+	left := c.timing.Lease - c.timing.Lease/startLeaseUsed
+	if w.listsRuns() && w.granted-reading >= cottonlanding.Reading(left) {
+		return w.granted
+	}
+	return c.leaseUntil(w, now)
+}
+
+// listsRuns reports whether the worker's last answer to a look listed runs of this owner.
+func (w *worker) listsRuns() bool {
+	return slices.ContainsFunc(w.runs.all(), func(r *run) bool { return r.listedAt > 0 && r.listedAt == w.answered })
+}
+
 // NextLook is what to ask a worker next.
 type NextLook struct {
 	Worker cottonlanding.WorkerRef
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -152,7 +152,7 @@
 		order.Verb = VerbStart
 		r.countCopy(w)
 		order.Start.Payload = r.task.job.Payload
-		order.Start.LeaseUntil = c.leaseUntil(w, now)
+		order.Start.LeaseUntil = c.startLease(w, now)
 		order.Start.Checkpoint = c.startCheckpoint(w, r, now)
 		r.phase = sent
 		r.recordSent(order.Start.LeaseUntil, now)
