The waits of a lasting task are added up from their constants

CheckDown adds the chains up from the named constants, as CheckSpans does for owners; hosts warn where the lease that their workers grant doesn't fit.

TestLastingTasksAreDownForNoLongerThanAllowed: the longest chain by one fault within one owner takes 9.0 s of 9 s, with a lease of 6 s.

--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -135,6 +135,9 @@
 	if err := CheckSpans(settings.Holder, settings.Planner.Lease); err != nil {
 		deps.Log.Warn("spans do not fit", "Error", err)
 	}
+	if err := driver.CheckDown(settings.Planner); err != nil {
+		deps.Log.Warn("spans do not fit", "Error", err)
+	}
 	var err error
 	g.messenger, err = messenger.Serve(settings.PeerAddress, func(server grpc.ServiceRegistrar) {
 		wire.RegisterWorkflowsServer(server, &peerServer{gateway: g})
--- a/internal/workflow/gateway/timing_test.go
+++ b/internal/workflow/gateway/timing_test.go
@@ -6,6 +6,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/driver"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/gateway"
 )
 
@@ -40,3 +41,15 @@
 	require.Error(t, gateway.CheckSpans(timing, service.Lease))
 	require.Greater(t, gateway.HolderTiming(true).EndedGrace, gateway.HolderTiming(true).Poll, "a next life has time to start")
 }
+
+// TestLastingTasksAreDownForNoLongerThanAllowed: nobody had added up for how long the waits of one owner can keep a lasting
+// task down, one after the other, and five of them had no bound.
+func TestLastingTasksAreDownForNoLongerThanAllowed(t *testing.T) {
+	service := gateway.PlannerTiming(30*cottonlanding.Second, 900, cottonlanding.Minute)
+	require.NoError(t, driver.CheckDown(service))
+	longer, shorter := service, service
+	longer.Lease = 7 * cottonlanding.Second
+	require.ErrorContains(t, driver.CheckDown(longer), "a silent worker, then a start without an answer: 9.64s")
+	shorter.Lease = 5 * cottonlanding.Second
+	require.ErrorContains(t, driver.CheckDown(shorter), "starts extend a lease")
+}
