A lasting task stays while its start waits in a busy owner

A start that had not left its owner for 2.25 s counted as left unanswered by its worker, so that the task was moved, and waited anew behind other starts.

Cause: the time counted from when the start was given out, which says nothing of the worker while it waits in the outbox.

The worker must have left a start of the run, or an order since its last answer to a look, without an answer.

TestStartThatWaitsBehindOthersKeepsItsWorker: moved before, not now.

--- a/internal/workflow/planner/down.go
+++ b/internal/workflow/planner/down.go
@@ -64,14 +64,20 @@
 // not told of the start for long. The members of a gang wait for each other, and stay.
 func (t *task) unheard(now cottonlanding.Millis) bool {
 	r := t.run
-	if r == nil || r.phase != sent || r.stopping || r.firstSentAt == 0 || !t.stage.Lasting || t.stage.Fills || t.stage.Gang {
+	if r == nil || r.phase != sent || r.stopping || !t.stage.Lasting || t.stage.Fills || t.stage.Gang {
 		return false
 	}
 	patience := startPatience
 	if t.mustRunAgain(now) {
 		patience = lastStartPatience
 	}
-	return now-r.firstSentAt >= patience && r.worker.reachable(now) && r.worker.answered > r.firstSentAt
+	return r.leavesUnanswered() && now-r.firstSentAt >= patience && r.worker.reachable(now) && r.worker.answered > r.firstSentAt
+}
+
+// leavesUnanswered reports whether the run's worker has left a start of it unanswered, or now does so with those before it. A
+// start that waits in a busy owner says nothing of its worker.
+func (r *run) leavesUnanswered() bool {
+	return r.unansweredStarts > 0 || r.firstSentAt > 0 && r.worker.unanswered
 }
 
 // hasOtherPlace reports whether a worker other than that of its run could take a task.
--- a/internal/workflow/planner/lastingstarts_test.go
+++ b/internal/workflow/planner/lastingstarts_test.go
@@ -210,3 +210,18 @@
 	at := slices.IndexFunc(w.workers, func(info cottonlanding.WorkerInfo) bool { return info.ID == d.worker })
 	require.Equal(t, 2, w.runner.RunsOn(w.workers[at].ID))
 }
+
+// TestStartThatWaitsBehindOthersKeepsItsWorker: a start that hasn't left a busy owner for seconds says nothing of its worker. To
+// move the task each time it waits would be without end.
+func TestStartThatWaitsBehindOthersKeepsItsWorker(t *testing.T) {
+	w := lastingWorld(t)
+	w.leaveLasting()
+	d := newDeaf(w, planner.VerbStart)
+	d.takes = startWithin
+	for range 80 {
+		d.turn()
+	}
+	require.Len(t, d.pending, 1)
+	require.False(t, d.pending[0].Unwanted())
+	require.Equal(t, d.worker, d.pending[0].Worker.Life.Worker)
+}
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -271,6 +271,7 @@
 		r.nextTry = now + orderPause
 	case errors.Is(err, cottonlanding.ErrAmbiguous):
 		r.doubtful = true
+		r.unansweredStarts++
 		r.nextTry = now + orderPause
 	default:
 		c.startRefused(w, r, err, now)
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -77,8 +77,8 @@
 	firstSentAt cottonlanding.Millis
 	// startsUntil is when the worker takes none of this owner's starts any more, by its clock.
 	startsUntil cottonlanding.Reading
-	// lateStarts counts the starts that the worker refused as too late.
-	lateStarts int
+	// lateStarts counts the starts that the worker refused as too late, unansweredStarts those that got no answer.
+	lateStarts, unansweredStarts int
 	// unseenCopies counts the starts that were repeated since the worker last answered a look.
 	unseenCopies int
 	// ackedAt is when the worker said that it started the run, listedAt when it last listed it.
