--- a/internal/workflow/planner/export_test.go
+++ b/internal/workflow/planner/export_test.go
@@ -125,3 +125,8 @@
 	}
 	return "free"
 }
+
+// DownFor returns how long a task hasn't been seen at work.
+func (c *Cell) DownFor(ref cottonlanding.TaskRef, now cottonlanding.Millis) cottonlanding.Millis {
+	return now - c.jobs[ref.Workflow].task(ref).downSince()
+}
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -152,7 +152,7 @@
 		order.Verb = VerbStart
 		r.countCopy(w)
 		order.Start.Payload = r.task.job.Payload
-		order.Start.LeaseUntil = c.leaseUntil(w, now)
+		order.Start.LeaseUntil = c.startLease(w, now)
 		order.Start.Checkpoint = c.startCheckpoint(w, r, now)
 		r.phase = sent
 		r.recordSent(order.Start.LeaseUntil, now)
@@ -273,6 +273,7 @@
 		r.nextTry = now + orderPause
 	case errors.Is(err, cottonlanding.ErrAmbiguous):
 		r.doubtful = true
+		r.unansweredStarts++
 		r.nextTry = now + orderPause
 	default:
 		c.startRefused(w, r, err, now)
