A lasting task leaves workers that don't tell of its start less and less

What callers would see: a lasting task never runs again while all workers carry their starts out 1.2 to 3 s late, and owners of 1,100 workers decide for 90 ms a turn.

Cause: a task that must run again left each worker after one second, also the next one. All tasks that wait so had all workers looked through in each decision. Found in review.

Change: the patience doubles with each worker left; ten tasks are weighed a decision, in turn.

--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -85,6 +85,8 @@
 	away map[cottonlanding.WorkflowID]*job
 	// interruptedTurns and delegableTurns are where Delegables goes on.
 	interruptedTurns, delegableTurns taskTurns
+	// unheardTurns is where leaveUnheard goes on.
+	unheardTurns taskTurns
 	// guestNews says that something was committed that guest cells are to be told.
 	guestNews bool
 	// report is what was left of the cell at reportedAt, if it had usable workers.
--- a/internal/workflow/planner/down.go
+++ b/internal/workflow/planner/down.go
@@ -22,12 +22,17 @@
 	// must run again, for one start.
 	startPatience     = 2250 * cottonlanding.Millis(1)
 	lastStartPatience = cottonlanding.Second
+	// mostLongerPatience is how often the patience is doubled, once for each worker that a task has left in vain: where
+	// all workers carry out their orders late, a task that left each of them would never run.
+	mostLongerPatience = 3
+	// mostUnheard bounds the tasks for which other workers are looked for in one decision.
+	mostUnheard = 10
 )
 
 // recordAtWork notes that the run was at work at an instant.
 func (r *run) recordAtWork(now cottonlanding.Millis) {
 	if t := r.task; t != nil && t.run == r {
-		t.seenAt = now
+		t.seenAt, t.leftUnheard = now, 0
 	}
 }
 
@@ -47,17 +52,32 @@
 // leaveUnheard stops the runs of lasting tasks of whose start their workers don't tell, though they answer looks, where
 // another worker has room. The task is placed there once the run is ruled out.
 func (c *Cell) leaveUnheard(now cottonlanding.Millis) {
+	var unheard []*task
 	for _, j := range c.order {
 		if !j.lasts {
 			continue
 		}
 		j.eachTask(func(t *task) {
-			if t.unheard(now) && c.hasOtherPlace(t, now) {
-				t.failedOn = append(t.failedOn, t.run.worker.life())
-				c.stop(t.run, "its worker has not told of the start", now)
+			if t.unheard(now) {
+				unheard = append(unheard, t)
 			}
 		})
 	}
+	for _, t := range c.unheardTurns.take(unheard, mostUnheard) {
+		if c.hasOtherPlace(t, now) {
+			t.leftUnheard++
+			t.failedOn = append(t.failedOn, t.run.worker.life())
+			c.stop(t.run, "its worker has not told of the start", now)
+		}
+	}
+}
+
+// unheardPatience returns how long the task stays with a worker that doesn't tell of its start.
+func (t *task) unheardPatience(now cottonlanding.Millis) cottonlanding.Millis {
+	if t.leftUnheard == 0 && t.mustRunAgain(now) {
+		return lastStartPatience
+	}
+	return startPatience << min(t.leftUnheard, mostLongerPatience)
 }
 
 // unheard reports whether the worker of a lasting task has answered a look since the task was first started there, and has
@@ -67,11 +87,7 @@
 	if r == nil || r.phase != sent || r.stopping || !t.stage.Lasting || t.stage.Fills || t.stage.Gang {
 		return false
 	}
-	patience := startPatience
-	if t.mustRunAgain(now) {
-		patience = lastStartPatience
-	}
-	return r.leavesUnanswered() && now-r.firstSentAt >= patience && r.worker.reachable(now) && r.worker.answered > r.firstSentAt
+	return r.leavesUnanswered() && now-r.firstSentAt >= t.unheardPatience(now) && r.worker.reachable(now) && r.worker.answered > r.firstSentAt
 }
 
 // leavesUnanswered reports whether the run's worker has left a start of it unanswered, or now does so with those before it. A
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -106,6 +106,8 @@
 	downtime *downtime
 	// seenAt is when a run of the task was last known to be at work, zero if none was.
 	seenAt cottonlanding.Millis
+	// leftUnheard counts the workers that the task has left since, because they didn't tell of its start.
+	leftUnheard int
 	// failedOn lists the lives of workers that failed it or on which it stood still.
 	failedOn []cottonlanding.Life
 	// roomUntil is how long the task waits for room that is being made.
