Bounds of leases cover the next life, and hold up only their own workers

What callers would see: a task runs twice after a change of owner, if a start without an answer was taken by the next life of its worker, which then falls silent; and leases of all workers wait for the first commit of an owner that can't use what one before has written.

Cause: a bound was that of the life that was meant. Found in review.

Change: the bound of a worker that tells births and has left an order unanswered is that of the longest lease. Of bounds that can't be used it is known which workers they are of.

--- /dev/null
+++ b/internal/workflow/planner/lateplay_test.go
@@ -0,0 +1,146 @@
+package planner_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
+)
+
+// lateStart is a start that its worker carries out at an instant.
+type lateStart struct {
+	at    cottonlanding.Millis
+	order planner.Order
+}
+
+// lateStarts plays a world whose workers carry starts out late and answer all else at once.
+type lateStarts struct {
+	*world
+	late    cottonlanding.Millis
+	pending []lateStart
+}
+
+func (p *lateStarts) turn() {
+	p.now += turnSpan
+	p.commit()
+	for _, order := range p.cell.Orders(p.now) {
+		order.SentAt = p.now
+		if order.Verb == planner.VerbStart {
+			p.pending = append(p.pending, lateStart{p.now + p.late, order})
+			continue
+		}
+		reading, err := p.send(order)
+		p.cell.Ordered(order, reading, err, p.now)
+	}
+	for _, one := range p.pending {
+		if p.now-one.order.SentAt == callTime {
+			p.cell.Ordered(one.order, 0, cottonlanding.ErrAmbiguous, p.now)
+		}
+	}
+	for len(p.pending) > 0 && p.pending[0].at <= p.now {
+		_, _ = p.send(p.pending[0].order)
+		p.pending = p.pending[1:]
+	}
+	p.lookAll()
+}
+
+// TestTasksRunAlthoughAllStartsAreLate: a lasting task that left each worker which didn't tell of its start in time never ran where all of them
+// carried their orders out late.
+func TestTasksRunAlthoughAllStartsAreLate(t *testing.T) {
+	for _, late := range []cottonlanding.Millis{1200, 2000, 3000} {
+		t.Run(late.String(), func(t *testing.T) {
+			p := &lateStarts{world: newLastingWorld(t), late: late}
+			p.lose("w1")
+			lost := p.now
+			for p.runner.Lasting() < 4 || p.now-lost < cottonlanding.Second {
+				require.Less(t, p.now-lost, runsAgainWithin+late, "what is late is no fault of the owner")
+				p.turn()
+			}
+			require.Empty(t, p.runner.Violations())
+		})
+	}
+}
+
+// TestBoundsCoverTheNextLife: a start without an answer was taken by the next life of its worker, which cut its lease to the longest and fell
+// silent. The next owner went by a bound that was for the life before, and started the task once more beside it.
+func TestBoundsCoverTheNextLife(t *testing.T) {
+	w := newOwnedWorld(t)
+	w.timing.LongestLease = 10 * cottonlanding.Second
+	w.runner.CutLeases(w.timing.LongestLease)
+	rebirths := func() {
+		for at := range w.workers {
+			w.rebirth(at)
+		}
+	}
+	rebirths()
+	w.relist()
+	w.takeOver()
+	w.play(30 * cottonlanding.Second)
+	w.submit("lasts", "Urgent", lasting(1, 0, 2000))
+	w.now += turnSpan
+	w.commit()
+	rebirths()
+	w.orders(func() string { return "unanswered" })
+	taken := cottonlanding.WorkerID("")
+	for id, runs := range w.runner.RunsByWorker() {
+		if len(runs) > 0 {
+			taken = id
+		}
+	}
+	require.NotEmpty(t, taken)
+	w.relist()
+	w.runner.Dark(taken, true)
+	w.play(2 * cottonlanding.Second)
+	w.takeOverFrom(w.now + ownerSeenGone)
+	for range 400 {
+		w.turn(turnSpan)
+		require.Empty(t, w.runner.Violations())
+	}
+}
+
+// TestNewOwnersKnowSinceWhenTasksAreDown: beside short tasks that take what gets free, a lasting task gets a worker that is kept for it by how long it is
+// down. Each new owner counted that anew.
+func TestNewOwnersKnowSinceWhenTasksAreDown(t *testing.T) {
+	for _, changes := range []int{0, 1, 2} {
+		t.Run(fmt.Sprintf("%d changes", changes), func(t *testing.T) {
+			w := newOwnedWorld(t)
+			w.play(cottonlanding.Second)
+			w.submit("lasts", "Urgent", lasting(1, 0, 7000))
+			w.play(3 * cottonlanding.Second)
+			number := 0
+			play := func() {
+				if w.now%200 == 0 {
+					number++
+					w.submit(cottonlanding.WorkflowID(fmt.Sprintf("b%d", number)), "Urgent",
+						cottonlanding.Step{Tasks: 4, Estimate: 500, Resources: cottonlanding.Resources{CPU: 950, Memory: cottonlanding.Gigabyte}})
+				}
+				w.turn(turnSpan)
+			}
+			at := cottonlanding.WorkerID("")
+			for id, runs := range w.runner.RunsByWorker() {
+				if len(runs) > 0 {
+					at = id
+				}
+			}
+			for range 40 {
+				play()
+			}
+			w.lose(at)
+			lost := w.now
+			for w.runner.Lasting() < 1 || w.now-lost < 500 {
+				require.LessOrEqual(t, w.now-lost, runsAgainWithin)
+				if left := w.now - lost - 1500; changes > 0 && left >= 0 && left%2500 == 0 {
+					changes--
+					w.killOwner(600, func() {})
+				}
+				play()
+				if w.now-lost >= 4500 && len(w.workers) == 4 {
+					w.delist(at)
+				}
+			}
+		})
+	}
+}
--- a/internal/workflow/planner/leasebounds.go
+++ b/internal/workflow/planner/leasebounds.go
@@ -55,12 +55,15 @@
 	// version is that of the row, epoch that of the owner which wrote it.
 	version cottonlanding.Version
 	epoch   cottonlanding.Epoch
-	// older is when the leases of all owners before have ended, zero if nothing is known but BeforeUntil. ownedUntil is until when this owner surely owns the cell, zero if it wasn't told.
+	// older is when the leases of all owners before have ended, zero if nothing is known but BeforeUntil. ownedUntil is
+	// until when this owner surely owns the cell, zero if it wasn't told.
 	older, ownedUntil cottonlanding.Millis
 	// tableSlow says that commits take long: a bound couldn't be taken off in time for the next lease.
 	tableSlow bool
-	// unread says that what the row holds isn't known here, so that it may be any worker's bound.
-	unread bool
+	// foreign is what the row holds if that can't be used here; unread says that it isn't known, so that it may be any
+	// worker's bound.
+	foreign map[cottonlanding.WorkerID]cottonlanding.TableInstant
+	unread  bool
 }
 
 // LeaseBoundsKey names the row that holds the lease bounds of a cell.
@@ -118,7 +121,7 @@
 		return fmt.Errorf("row %s: %w", row.Key, err)
 	}
 	if !c.boundsHold(written, now) {
-		c.bounds.unread = len(written.Until) > 0
+		c.bounds.foreign = written.Until
 		c.log.Info("lease bounds not used", "Workers", len(written.Until), "Of", written.Epoch, "Epoch", c.setup.Epoch, "ClockKnown", c.bounds.clock != nil)
 		return nil
 	}
@@ -162,7 +165,8 @@
 func (b *leaseBounds) has(id cottonlanding.WorkerID) bool {
 	_, kept := b.kept[id]
 	_, planned := b.planned[id]
-	return b.unread || kept || planned
+	_, foreign := b.foreign[id]
+	return b.unread || kept || planned || foreign
 }
 
 // staysSilent reports whether the worker has given this owner no answer, or none lately.
@@ -195,21 +199,30 @@
 		if len(out) >= mostBounds || size > mostBoundBytes {
 			return out
 		}
-		if kept && c.bounds.clock.Until(shown) >= w.bound {
+		if kept && c.bounds.clock.Until(shown) >= c.boundOfLives(w) {
 			out[id] = shown
 			continue
 		}
-		out[id] = c.bounds.clock.Latest(w.bound)
+		out[id] = c.bounds.clock.Latest(c.boundOfLives(w))
 	}
 	return out
 }
 
+// boundOfLives returns the instant by which the leases of a worker have ended, also if its next life has taken an order
+// without an answer: that one reckons the lease by its own clock, and cuts it to the longest.
+func (c *Cell) boundOfLives(w *worker) cottonlanding.Millis {
+	if w.born == 0 || !w.unanswered {
+		return w.bound
+	}
+	return w.bound + max(0, c.timing.LongestLease-c.timing.Lease)
+}
+
 // boundsDue returns the bounds to write, and whether they differ from what is written.
 func (c *Cell) boundsDue(now cottonlanding.Millis) (map[cottonlanding.WorkerID]cottonlanding.TableInstant, bool) {
 	wanted := c.boundsWanted(now)
 	hasRow := c.bounds.clock != nil || len(c.bounds.kept) > 0
 	isAnothers := hasRow && c.bounds.epoch != c.setup.Epoch
-	return wanted, c.bounds.unread || isAnothers || !maps.Equal(wanted, c.bounds.kept)
+	return wanted, c.bounds.unread || len(c.bounds.foreign) > 0 || isAnothers || !maps.Equal(wanted, c.bounds.kept)
 }
 
 // planBounds adds the lease bounds to a plan if they have changed.
@@ -232,6 +245,7 @@
 
 // recordBounds takes in that the planned bounds are written.
 func (c *Cell) recordBounds(version cottonlanding.Version) {
-	c.bounds.kept, c.bounds.planned, c.bounds.unread = c.bounds.planned, nil, false
+	c.bounds.kept, c.bounds.planned = c.bounds.planned, nil
+	c.bounds.foreign, c.bounds.unread = nil, false
 	c.bounds.version, c.bounds.epoch = version, c.setup.Epoch
 }
