--- a/internal/workflow/planner/againtrouble_test.go
+++ b/internal/workflow/planner/againtrouble_test.go
@@ -216,14 +216,14 @@
 
 func (h *againHistory) failOrders(p *playedCell, span cottonlanding.Millis) {
 	p.faultOdds = []int{10, 30, 60, 90}[h.random.Intn(4)]
-	for _, info := range h.pick(p, 1+h.random.Intn(len(p.workers))) {
+	for _, info := range h.pick(p, 1+h.random.Intn(max(1, len(p.workers)))) {
 		h.tell("%d of 100 orders to %s fail for %d", p.faultOdds, info.ID, span)
 		p.faultyUntil[info.ID] = h.now() + span
 	}
 }
 
 func (h *againHistory) loseLooks(p *playedCell, span cottonlanding.Millis) {
-	for _, info := range h.pick(p, 1+h.random.Intn(len(p.workers))) {
+	for _, info := range h.pick(p, 1+h.random.Intn(max(1, len(p.workers)))) {
 		h.tell("looks at %s fail for %d", info.ID, span)
 		p.deafUntil[info.ID] = h.now() + span
 	}
