New owners know since when lasting tasks are down

Cause: since when a task is down stood in no row, so that the five seconds after which a worker is kept for it, and the seven for which it may be held back, began anew with each owner. Found in review.

Change: it is written beside the bounds of leases, for at most a hundred tasks that are down for two seconds and more. On a worker with a written bound it follows from that. The next life of a worker is counted on where the list of workers tells of one, no longer for each order without an answer: that kept tasks down for 10 s.

--- a/internal/workflow/planner/leasebounds.go
+++ b/internal/workflow/planner/leasebounds.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"slices"
 
 	"github.com/cottonlanding/cottonlanding"
 )
@@ -43,6 +44,8 @@
 	// LeaseTail.
 	Older cottonlanding.TableInstant `json:",omitempty"`
 	Until map[cottonlanding.WorkerID]cottonlanding.TableInstant
+	// Down is since when lasting tasks are down.
+	Down downSpans `json:",omitempty"`
 }
 
 // leaseBounds are the bounds that are written.
@@ -58,6 +61,8 @@
 	// older is when the leases of all owners before have ended, zero if nothing is known but BeforeUntil. ownedUntil is
 	// until when this owner surely owns the cell, zero if it wasn't told.
 	older, ownedUntil cottonlanding.Millis
+	// down is what the row holds of tasks that are down.
+	down downRow
 	// tableSlow says that commits take long: a bound couldn't be taken off in time for the next lease.
 	tableSlow bool
 	// foreign is what the row holds if that can't be used here; unread says that it isn't known, so that it may be any
@@ -120,6 +125,9 @@
 		c.bounds.unread = true
 		return fmt.Errorf("row %s: %w", row.Key, err)
 	}
+	if c.bounds.clock != nil {
+		c.inheritDown(written.Down, now)
+	}
 	if !c.boundsHold(written, now) {
 		c.bounds.foreign = written.Until
 		c.log.Info("lease bounds not used", "Workers", len(written.Until), "Of", written.Epoch, "Epoch", c.setup.Epoch, "ClockKnown", c.bounds.clock != nil)
@@ -128,7 +136,7 @@
 	c.bounds.kept, c.bounds.epoch = written.Until, written.Epoch
 	c.inheritOlder(written)
 	for _, w := range c.sortedWorkers() {
-		w.bound = max(now, c.ownersBound())
+		w.bound = max(now, c.ownersBound()+c.nextLifeSpan(w))
 		c.inheritBound(w, now)
 	}
 	return nil
@@ -156,11 +164,25 @@
 	if !found {
 		return
 	}
-	before := w.bound
-	w.bound = min(before, max(now, c.bounds.clock.Until(shown)))
+	before, until := w.bound, c.bounds.clock.Until(shown)+c.nextLifeSpan(w)
+	w.bound = min(before, max(now, until))
+	c.inheritSilence(w, until-c.nextLifeSpan(w)-stretched(c.timing.Lease))
+	if w.runs.size() == 0 {
+		return
+	}
 	c.log.Info("lease bound taken over", "Worker", w.info.ID, "Runs", w.runs.size(), "Left", w.bound-now, "Instead", before-now)
 }
 
+// nextLifeSpan returns by how much longer leases on a worker may last because its entry tells of another life than those on which
+// its runs were placed: that one may have taken a start that got no answer. It reckons the lease by its own clock, and cuts it to
+// the longest.
+func (c *Cell) nextLifeSpan(w *worker) cottonlanding.Millis {
+	if slices.ContainsFunc(w.runs.all(), func(r *run) bool { return r.born.IsOtherThan(w.info.Born) }) {
+		return max(0, c.timing.LongestLease-c.timing.Lease)
+	}
+	return 0
+}
+
 // has reports whether a bound of the worker is written, or perhaps.
 func (b *leaseBounds) has(id cottonlanding.WorkerID) bool {
 	_, kept := b.kept[id]
@@ -199,30 +221,21 @@
 		if len(out) >= mostBounds || size > mostBoundBytes {
 			return out
 		}
-		if kept && c.bounds.clock.Until(shown) >= c.boundOfLives(w) {
+		if kept && c.bounds.clock.Until(shown) >= w.bound {
 			out[id] = shown
 			continue
 		}
-		out[id] = c.bounds.clock.Latest(c.boundOfLives(w))
+		out[id] = c.bounds.clock.Latest(w.bound)
 	}
 	return out
 }
 
-// boundOfLives returns the instant by which the leases of a worker have ended, also if its next life has taken an order
-// without an answer: that one reckons the lease by its own clock, and cuts it to the longest.
-func (c *Cell) boundOfLives(w *worker) cottonlanding.Millis {
-	if w.born == 0 || !w.unanswered {
-		return w.bound
-	}
-	return w.bound + max(0, c.timing.LongestLease-c.timing.Lease)
-}
-
 // boundsDue returns the bounds to write, and whether they differ from what is written.
 func (c *Cell) boundsDue(now cottonlanding.Millis) (map[cottonlanding.WorkerID]cottonlanding.TableInstant, bool) {
 	wanted := c.boundsWanted(now)
 	hasRow := c.bounds.clock != nil || len(c.bounds.kept) > 0
 	isAnothers := hasRow && c.bounds.epoch != c.setup.Epoch
-	return wanted, c.bounds.unread || len(c.bounds.foreign) > 0 || isAnothers || !maps.Equal(wanted, c.bounds.kept)
+	return wanted, c.downDue(now) || c.bounds.unread || len(c.bounds.foreign) > 0 || isAnothers || !maps.Equal(wanted, c.bounds.kept)
 }
 
 // planBounds adds the lease bounds to a plan if they have changed.
@@ -232,7 +245,8 @@
 		return
 	}
 	c.bounds.planned, plan.bounds = wanted, true
-	row := boundsRow{Epoch: c.setup.Epoch, Until: wanted}
+	c.bounds.down.planned = c.downWanted(now)
+	row := boundsRow{Epoch: c.setup.Epoch, Until: wanted, Down: c.bounds.down.planned}
 	if c.bounds.clock != nil {
 		row.Written = c.bounds.clock.Shown
 		if c.capsLeases() {
@@ -240,12 +254,13 @@
 		}
 	}
 	plan.add(cottonlanding.Write{Key: LeaseBoundsKey(c.setup.Partition), Expect: c.bounds.version, Value: encode(row), Unchecked: true})
-	c.log.Info("lease bounds written", "Workers", len(wanted), "Before", len(c.bounds.kept))
+	c.log.Info("lease bounds written", "Workers", len(wanted), "Before", len(c.bounds.kept), "TasksDown", len(row.Down))
 }
 
 // recordBounds takes in that the planned bounds are written.
 func (c *Cell) recordBounds(version cottonlanding.Version) {
 	c.bounds.kept, c.bounds.planned = c.bounds.planned, nil
 	c.bounds.foreign, c.bounds.unread = nil, false
+	c.bounds.down.kept = c.bounds.down.planned
 	c.bounds.version, c.bounds.epoch = version, c.setup.Epoch
 }
