--- a/internal/workflow/planner/downtime.go
+++ b/internal/workflow/planner/downtime.go
@@ -62,11 +62,11 @@
 	return now - at
 }
 
-// lastSeen is when the run was last known to go on, zero if it never was.
-func (r *run) lastSeen() cottonlanding.Millis { return max(r.listedAt, r.ackedAt) }
+// lastAtWork is when the run was last known to go on, zero if it never was.
+func (r *run) lastAtWork() cottonlanding.Millis { return max(r.listedAt, r.ackedAt) }
 
 // mayHaveRun reports whether the run may have begun on its worker.
-func (r *run) mayHaveRun() bool { return r.lastSeen() > 0 || r.doubtful }
+func (r *run) mayHaveRun() bool { return r.lastAtWork() > 0 || r.doubtful }
 
 // recordDown takes in that the run of a lasting task doesn't go on. It comes before the run is taken off its task.
 func (c *Cell) recordDown(r *run, cause string, now cottonlanding.Millis) {
@@ -75,7 +75,7 @@
 		return
 	}
 	if t.downtime == nil {
-		c.beginDowntime(t, r.lastSeen(), now)
+		c.beginDowntime(t, r.lastAtWork(), now)
 	}
 	if r.mayHaveRun() {
 		c.tellDown(t, onWorker(r.worker), cause, r.stopReason, now)
