Few workers are kept where lasting tasks fill the cell

What callers would see: smaller lasting tasks wait beside room that is kept for larger ones, here and in other cells, which aren't told of kept room.

Cause: for interrupted tasks a quarter of the workers could be kept at a time. Where lasting tasks hold most of the room, little of it comes free by short tasks that end.

--- a/internal/workflow/planner/due.go
+++ b/internal/workflow/planner/due.go
@@ -101,10 +101,10 @@
 // tight reports whether little is left for lasting tasks, and not several times what is due and
 // what the task needs.
 func (d dues) tight(t *task) bool {
-	room := d.rooms[t.job.queue.Service]
-	if room.capacity.Fits(room.left.Times(littlePart)) {
+	if !d.little(t) {
 		return false
 	}
+	room := d.rooms[t.job.queue.Service]
 	need := t.stage.Reserved()
 	for _, other := range d.tasks {
 		if other.precedes(t) {
@@ -114,6 +114,12 @@
 	return !need.Times(roomFactor).Fits(room.left)
 }
 
+// little reports whether lasting tasks hold so much that little is left for others.
+func (d dues) little(t *task) bool {
+	room := d.rooms[t.job.queue.Service]
+	return !room.capacity.Fits(room.left.Times(littlePart))
+}
+
 // recordTaken takes in that a lasting task was given room.
 func (d dues) recordTaken(t *task) {
 	room, known := d.rooms[t.job.queue.Service]
--- a/internal/workflow/planner/lastingwaits_test.go
+++ b/internal/workflow/planner/lastingwaits_test.go
@@ -252,3 +252,48 @@
 	require.Less(t, w.now-crashed, timing.Lease+cottonlanding.Second)
 	require.Empty(t, w.runner.Violations())
 }
+
+// TestFewWorkersAreKeptWhereLastingTasksFillTheCell: of a cell full of lasting tasks a quarter of the workers was kept for those that were
+// interrupted, and their room was missing to smaller ones here and in other cells.
+func TestFewWorkersAreKeptWhereLastingTasksFillTheCell(t *testing.T) {
+	const filled, interrupted = 44, 8
+	var leaving []int
+	w := newSpreadWorld(t)
+	for range filled {
+		w.addWorker()
+	}
+	w.relist()
+	w.play(cottonlanding.Second)
+	w.submit("lsmall", "Urgent", lasting(interrupted, 1, 2500))
+	w.play(cottonlanding.Second)
+	for at, info := range w.workers {
+		if w.runner.RunsOn(info.ID) > 0 {
+			leaving = append(leaving, at)
+		}
+	}
+	w.submit("lfills", "Urgent", lasting(filled+4, 1, 5000))
+	w.play(cottonlanding.Second)
+	require.Equal(t, filled+4+interrupted, w.runner.Lasting())
+	number := 0
+	stream := func() { // more than there is room for, so that holes stay small
+		number++
+		step := short(950)
+		step.Tasks = 9
+		w.submit(cottonlanding.WorkflowID(fmt.Sprintf("b%d", number)), "Urgent", step)
+	}
+	w.playBeside(3*cottonlanding.Second, stream)
+	log := w.listen()
+	w.playBeside(cottonlanding.Second, stream)
+	for _, at := range leaving {
+		w.workers[at].State = cottonlanding.Leaving
+	}
+	w.relist()
+	w.playBeside(6*cottonlanding.Second, stream)
+	atOnce := 0
+	for _, line := range linesOf(t, log, "capacity reserved") {
+		if line["Waited"].(float64) < 5200 {
+			atOnce++
+		}
+	}
+	require.LessOrEqual(t, atOnce, 2, "one of 48 at a time")
+}
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -99,9 +99,10 @@
 }
 
 // mostKept returns how many workers may be kept for a task to get another one. Of many that were
-// interrupted at once each has its time, so that they don't wait for one another.
+// interrupted at once each has its time, so that they don't wait for one another. Where lasting tasks hold most of the
+// room, short ones make way for few of them, and what is kept would be missing to smaller ones here and in other cells.
 func (c *Cell) mostKept(t *task, now cottonlanding.Millis) int {
-	if t.claim(now) == brokenClaim {
+	if t.claim(now) == brokenClaim && !c.due.little(t) {
 		return max(1, len(c.workers)/workersPerInterrupted)
 	}
 	return max(1, len(c.workers)/workersPerKept)
