--- a/internal/policy/selector/selector.go
+++ b/internal/policy/selector/selector.go
@@ -66,6 +66,13 @@
 	"never":      func() bool { return false },
 }
 
+// runTimeVariants are the variants of how long a task is expected to take: as its client estimates, or as
+// learnt from the tasks of its queue that have ended.
+var runTimeVariants = cataloger.Catalog[bool]{
+	"declared": func() bool { return false },
+	"learnt":   func() bool { return true },
+}
+
 // tableSourceVariants are the variants of where hosts that own no cell read the operators' table.
 var tableSourceVariants = cataloger.Catalog[bool]{
 	"copy":  func() bool { return true },
@@ -73,8 +80,8 @@
 }
 
 // New returns the policies with the given names. The error reports all unknown names. The decision
-// Together sets KeepsInOneDataCentre, Silence sets WatchesDataCentres, TakeOver sets Reclaim and News
-// sets UsesTableCopy.
+// Together sets KeepsInOneDataCentre, Silence sets WatchesDataCentres, RunTimes sets LearnsRunTimes,
+// TakeOver sets Reclaim and News sets UsesTableCopy.
 func New(names Names) (Set, error) {
 	s := &selection{names: names}
 	set := Set{
@@ -89,6 +96,7 @@
 			Delegation:           choose(s, "Delegation", delegator.Catalog, delegator.Fallback)(),
 			KeepsInOneDataCentre: choose(s, "Together", colocationVariants, "datacentre")(),
 			WatchesDataCentres:   choose(s, "Silence", timeoutScopeVariants, "place")(),
+			LearnsRunTimes:       choose(s, "RunTimes", runTimeVariants, "declared")(),
 		},
 		Referral:      choose(s, "Referral", referrer.Catalog, referrer.Fallback)(),
 		Reclaim:       choose(s, "TakeOver", takeOverVariants, "reclaim")(),
--- a/internal/workflow/driver/load.go
+++ b/internal/workflow/driver/load.go
@@ -59,6 +59,11 @@
 			d.deps.Log.Warn("learnt image weights could not be loaded", "Error", err) // they are learnt again
 		}
 	}
+	for _, row := range rows.runTimes {
+		if err := cell.LoadRunTimes(row); err != nil {
+			d.deps.Log.Warn("learnt run times could not be loaded", "Error", err) // they are learnt again
+		}
+	}
 	d.readTableClock(cell)
 	for _, row := range rows.bounds {
 		if err := cell.LoadLeaseBounds(row, now); err != nil {
@@ -71,7 +76,7 @@
 
 // cellRows holds the rows of a cell by kind.
 type cellRows struct {
-	specs, states, delegated, referrals, learnt, bounds []cottonlanding.Row
+	specs, states, delegated, referrals, learnt, runTimes, bounds []cottonlanding.Row
 }
 
 // readCell reads all rows of the cell. The kinds are read concurrently: the rows don't change any more, and a slow
@@ -95,6 +100,12 @@
 		rows.learnt, err = d.read(planner.LearntKey(partition))
 		return err
 	})
+	if d.policy.LearnsRunTimes {
+		reads.Go(func() (err error) {
+			rows.runTimes, err = d.read(planner.RunTimesKey(partition))
+			return err
+		})
+	}
 	reads.Go(func() (err error) {
 		rows.bounds, err = d.read(planner.LeaseBoundsKey(partition))
 		return err
--- a/internal/workflow/gateway/gauges.go
+++ b/internal/workflow/gateway/gauges.go
@@ -28,6 +28,7 @@
 		"runs_stuck":          counts.Stuck,
 		"runs_evicted":        counts.Preempted,
 		"tasks_delegated":     counts.Delegated,
+		"run_times_measured":  counts.RunTimesMeasured,
 	} {
 		gauge(name, float64(count))
 	}
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -13,6 +13,7 @@
 	"slices"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/estimator"
 )
 
 // Timing holds the durations on which safety depends.
@@ -100,7 +101,14 @@
 	// learntAt is when the learnt interference of images was last written, learntVersion is the version of that row.
 	learntAt      cottonlanding.Millis
 	learntVersion cottonlanding.Version
-	sequence      int64
+	// runTimes holds the learnt run times, nil if the estimates of clients are used as they are. runTimesChanged says
+	// that they have changed since they were last planned to be written, at runTimesAt; runTimesVersion is the version
+	// of their row.
+	runTimes        *estimator.Estimator
+	runTimesChanged bool
+	runTimesAt      cottonlanding.Millis
+	runTimesVersion cottonlanding.Version
+	sequence        int64
 	// summaryAt is when the use of the workers was last logged.
 	summaryAt cottonlanding.Millis
 	// ended holds the lives that are known to have ended and whose entries are still listed.
@@ -147,6 +155,8 @@
 	HandedOver int64
 	// Delegated counts tasks that were delegated to another cell.
 	Delegated int64
+	// RunTimesMeasured counts the runs from which run times were learnt.
+	RunTimesMeasured int64
 	// RevokedStarts counts runs that were revoked before their start was answered, because their worker may receive no
 	// new runs.
 	RevokedStarts int64
@@ -166,6 +176,7 @@
 	c.Referred += other.Referred
 	c.HandedOver += other.HandedOver
 	c.Delegated += other.Delegated
+	c.RunTimesMeasured += other.RunTimesMeasured
 	c.RevokedStarts += other.RevokedStarts
 	if c.Ends == nil {
 		c.Ends = make(map[cottonlanding.EndKind]int64)
@@ -177,7 +188,7 @@
 
 // New returns a cell without workflows or workers.
 func New(setup Setup, timing Timing, policy Policy, log *slog.Logger) *Cell {
-	return &Cell{
+	c := &Cell{
 		setup:              setup,
 		timing:             timing,
 		policy:             policy,
@@ -197,6 +208,10 @@
 		openLivesByWorker:  make(map[cottonlanding.WorkerID]*openLives),
 		counts:             Counts{Ends: make(map[cottonlanding.EndKind]int64)},
 	}
+	if policy.LearnsRunTimes {
+		c.runTimes = estimator.New()
+	}
+	return c
 }
 
 // Epoch returns the owner's epoch.
--- a/internal/workflow/planner/forecast.go
+++ b/internal/workflow/planner/forecast.go
@@ -2,25 +2,32 @@
 
 import "github.com/cottonlanding/cottonlanding"
 
-// forecast is the remaining work of a workflow by its client's estimates. It is cached, as each decision needs that of
-// every open workflow while it changes only when tasks end, a round is added or the queue changes.
+// forecast is the remaining work of a workflow by the expected times of its steps. It is cached, as each decision needs
+// that of every open workflow while it changes only when tasks end, a round is added, the queue changes, or more was
+// learnt of run times.
 type forecast struct {
 	// work is that of all tasks, left that of the unfinished ones, in millicore-milliseconds.
 	work, left float64
 	// objective is the time in which the workflow should be done, chainLeft the longest chain of estimates through
 	// the unfinished steps; both are set only if its queue has an objective.
 	objective, chainLeft cottonlanding.Millis
+	// revision is the revision of the learnt run times that were used.
+	revision int64
 }
 
 // latestForecast returns the forecast of a workflow, computed if it isn't cached.
 func (j *job) latestForecast() forecast {
-	if j.forecast == nil {
-		j.forecast = &forecast{}
+	revision := int64(0)
+	if j.runTimes != nil {
+		revision = j.runTimes.Revision()
+	}
+	if j.forecast == nil || j.forecast.revision != revision {
+		j.forecast = &forecast{revision: revision}
 		j.forecast.work, j.forecast.left = j.work()
 		if j.queue.Stretch > 0 {
 			chain := j.longestChain(func(*stage) bool { return true })
 			j.forecast.objective = cottonlanding.Millis(j.queue.Stretch*float64(chain)) + j.queue.LatencyTarget
-			j.forecast.chainLeft = j.longestChain(func(s *stage) bool { return !s.finished() })
+			j.forecast.chainLeft = j.remainingPath()
 		}
 	}
 	return *j.forecast
@@ -40,12 +47,12 @@
 	return j.queue.Stretch > 0 && j.Schedule.Rounds == 0 && j.slack(now) < 0
 }
 
-// work returns the work of all tasks and that of the unfinished ones, by the client's estimates, in
+// work returns the work of all tasks and that of the unfinished ones, by the expected times of the steps, in
 // millicore-milliseconds.
 func (j *job) work() (all, left float64) {
 	for _, r := range j.rounds {
 		for _, s := range r.steps {
-			each := float64(s.Estimate) * float64(s.Resources.CPU)
+			each := float64(s.expectedTime()) * float64(s.Resources.CPU)
 			all += each * float64(len(s.tasks))
 			left += each * float64(len(s.tasks)-s.done)
 		}
@@ -65,7 +72,7 @@
 			earliestEnd[i] = max(earliestEnd[i], earliestEnd[earlier])
 		}
 		if counts(s) {
-			earliestEnd[i] += s.Estimate
+			earliestEnd[i] += s.expectedTime()
 		}
 		longest = max(longest, earliestEnd[i])
 	}
--- a/internal/workflow/planner/health.go
+++ b/internal/workflow/planner/health.go
@@ -14,8 +14,8 @@
 	stuckFillingTimeout = 4 * cottonlanding.Second
 	// slowWeight is the weight of the newest run in a worker's mean run time ratio.
 	slowWeight = 0.4
-	// slowRatio is the mean ratio of run time to estimate above which a worker counts as slow. Estimates are off by
-	// about a fifth.
+	// slowRatio is the mean ratio of run time to expected time above which a worker counts as slow. Expected times are off
+	// by about a fifth.
 	slowRatio = 2.5
 	// slowBackoff is how long a slow worker gets nothing while others have room.
 	slowBackoff = 3 * cottonlanding.Second
@@ -39,10 +39,11 @@
 func (h *health) recordSuccess(r *run, now cottonlanding.Millis) {
 	h.consecutiveFailures = 0
 	h.backoffUntil = 0
-	if r.step.Estimate <= 0 || r.step.Fills || r.ackedAt == 0 {
+	expected := r.task.stage.expectedTime()
+	if expected <= 0 || r.step.Fills || r.ackedAt == 0 {
 		return
 	}
-	ratio := float64(now-r.ackedAt) / float64(r.step.Estimate)
+	ratio := float64(now-r.ackedAt) / float64(expected)
 	if h.meanRunTimeRatio == 0 {
 		h.meanRunTimeRatio = 1
 	}
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/estimator"
 )
 
 // job is an accepted workflow, or one whose acceptance is being committed.
@@ -25,6 +26,8 @@
 	leftOut int
 	// forecast is the estimate of the remaining work; nil when it must be recomputed.
 	forecast *forecast
+	// runTimes are the learnt run times of the cell; nil if the estimates of clients are used as they are.
+	runTimes *estimator.Estimator
 	// hasLasting says that a step of the job is lasting; interrupted says that a task of such a step was interrupted
 	// and has waited for long.
 	hasLasting, interrupted bool
@@ -59,10 +62,13 @@
 // stage is a step of one round.
 type stage struct {
 	cottonlanding.Step
+	job   *job
 	tasks []*task
 	done  int
 	// ready says that all tasks of the earlier steps have succeeded.
 	ready bool
+	// ended summarizes the measured run times of the tasks that have ended.
+	ended estimator.Ended
 	// load is the base load of a serving step.
 	load baseLoad
 	// nextRoomTry is the earliest time at which the planner may try again to preempt runs for the step.
@@ -138,7 +144,7 @@
 func (j *job) addRound(number int, now cottonlanding.Millis) *round {
 	r := &round{number: number}
 	for index, step := range j.Steps {
-		s := &stage{Step: step}
+		s := &stage{Step: step, job: j}
 		for at := range step.Tasks {
 			ref := cottonlanding.TaskRef{Workflow: j.ID, Round: number, Step: index, Index: at}
 			s.tasks = append(s.tasks, &task{ref: ref, job: j, stage: s, waitingSince: now})
@@ -271,6 +277,7 @@
 	c.sequence++
 	c.reportedAt = 0 // recompute the report: other cells must not count on room that the job needs
 	j.sequence = c.sequence
+	j.runTimes = c.runTimes
 	c.recordWork(j)
 	c.jobs[j.ID] = j
 	if !j.state.Final() {
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -14,12 +14,12 @@
 	specPrefix  = "Specs/"
 	statePrefix = "States/"
 	// maxPlanWrites bounds the rows that jobs and referrals add to one transaction. The table accepts 100 entries, of
-	// which five are needed otherwise: one for the guard, two for the committer's lane row (see the package committer),
-	// one each for the learnt interference and the lease bounds.
+	// which six are needed otherwise: one for the guard, two for the committer's lane row (see the package committer),
+	// one each for the learnt interference, the learnt run times and the lease bounds.
 	maxPlanWrites = 90
 	// maxPlanBytes is the length of the values of a plan, in bytes, from which no further job is added. With one more
-	// job and the learnt interference, and encoded as base64, a plan stays below the table's limit of 1 MB.
-	maxPlanBytes = 550_000
+	// job, the learnt interference and the learnt run times, and encoded as base64, a plan stays below the table's limit of 1 MB.
+	maxPlanBytes = 520_000
 	// maxJobWrites is the largest number of rows that one job adds.
 	maxJobWrites = 2
 	// maxSkippedPlans is how many plans may omit a change before it goes first, which keeps urgent changes from
@@ -133,6 +133,8 @@
 	referred []cottonlanding.WorkflowID
 	// learnt says that the row of learnt interference is among the writes.
 	learnt bool
+	// runTimes says that the row of learnt run times is among the writes.
+	runTimes bool
 	// bounds says that the row of lease bounds is among the writes.
 	bounds bool
 	// size is the total length of the values in bytes.
@@ -161,7 +163,7 @@
 	if c.inFlight != nil {
 		return nil
 	}
-	if _, due := c.boundsChanged(now); !due && len(c.dirty) == 0 && len(c.unplannedReferrals) == 0 && !c.learntDue(now) {
+	if _, due := c.boundsChanged(now); !due && len(c.dirty) == 0 && len(c.unplannedReferrals) == 0 && !c.learntDue(now) && !c.runTimesDue(now) {
 		c.recordCommittedEnds(c.uncommittedEnds())
 		return nil
 	}
@@ -181,6 +183,7 @@
 		plan.recordedEnds = c.uncommittedEnds()
 	}
 	c.planLearnt(plan, now)
+	c.planRunTimes(plan, now)
 	c.planBounds(plan, now)
 	c.inFlight = plan
 	return plan
@@ -323,6 +326,9 @@
 	if plan.learnt {
 		c.learntVersion = version
 	}
+	if plan.runTimes {
+		c.runTimesVersion = version
+	}
 	if plan.bounds {
 		c.recordBounds(version)
 	}
--- a/internal/workflow/planner/policy.go
+++ b/internal/workflow/planner/policy.go
@@ -25,6 +25,8 @@
 	// WatchesDataCentres says that nothing is started in a data centre whose workers fall silent together, rather than
 	// only on the workers that were found silent.
 	WatchesDataCentres bool
+	// LearnsRunTimes says that run times are learnt from measured ones, rather than taken from the clients' estimates.
+	LearnsRunTimes bool
 }
 
 // placement returns the placement policy for a kind of task.
--- a/internal/workflow/planner/poll.go
+++ b/internal/workflow/planner/poll.go
@@ -117,6 +117,7 @@
 	w.answeredUnlisted = !w.listed
 	w.pollFailed, w.polled = false, true
 	w.lifeUnconfirmed, w.orderUnanswered = false, false
+	w.endsUncertain = w.lastAnswerAt == 0 || sentAt-w.lastAnswerAt > maxEndUncertainty
 	w.lastAnswerAt, w.lastAnswerPollSentAt = now, sentAt
 	w.recordContact(now)
 	w.markChanged()
@@ -221,5 +222,6 @@
 	r.markTaskRunning(now)
 	r.percent = p.Percent
 	r.tailLatency, r.used = p.Tail, p.Used
+	r.accountFullSpeed(p.Used, now)
 	r.recordCheckpoint(p.Checkpoint, checkpointListed, now)
 }
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -49,7 +49,11 @@
 	}
 	switch {
 	case end.Kind == cottonlanding.EndDone && !t.stage.Lasting:
+		suspect := c.suspect(w, t.stage, now)
 		w.health.recordSuccess(r, now)
+		if !suspect && !c.suspect(w, t.stage, now) {
+			c.recordRunTime(r, t, now)
+		}
 		c.finish(t, now)
 	case end.Kind == cottonlanding.EndFailed:
 		w.health.recordFailure(now)
@@ -97,6 +101,7 @@
 			t.job.size.recordDone()
 		}
 	}
+	c.recordStepTimes(t.stage, now)
 	j := t.job
 	j.forecast = nil
 	j.rounds[t.ref.Round].markReady(now)
--- a/internal/workflow/planner/summary.go
+++ b/internal/workflow/planner/summary.go
@@ -41,7 +41,8 @@
 		"ShortRuns", short.runs, "ShortCPU", int64(short.cpu), "ShortWaiting", short.waiting,
 		"LastingRuns", lasting.runs, "LastingCPU", int64(lasting.cpu), "LastingWaiting", lasting.waiting,
 		"FillingRuns", filling.runs, "FillingCPU", int64(filling.cpu), "FillingUsed", int64(filling.used),
-		"FillingPaused", filling.paused, "FillingWaiting", filling.waiting)
+		"FillingPaused", filling.paused, "FillingWaiting", filling.waiting,
+		"LearntQueues", c.learntQueues())
 }
 
 func (c *Cell) summarize(now cottonlanding.Millis) summary {
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -110,6 +110,11 @@
 	// firstStopAckAt is when the worker first acknowledged a stop. From then on it refuses all starts of the run.
 	firstStopAckAt cottonlanding.Millis
 
+	// fullSpeedTime is how long a filling run would have taken at full speed until its last sample, at speedAt; speed
+	// is the fraction of full speed in that sample.
+	fullSpeedTime, speed float64
+	speedAt              cottonlanding.Millis
+
 	percent      int
 	tailLatency  cottonlanding.Millis
 	used         cottonlanding.Millicores
@@ -169,7 +174,9 @@
 	polled bool
 	// lastAnswerAt is when the last poll answer came, lastAnswerPollSentAt when its poll was sent, pollFailed says
 	// that the last poll got no answer.
-	lastAnswerAt         cottonlanding.Millis
+	lastAnswerAt cottonlanding.Millis
+	// endsUncertain says that it is unknown when the runs ended whose ends came with the last answer.
+	endsUncertain        bool
 	lastAnswerPollSentAt cottonlanding.Millis
 	pollFailed           bool
 	// pollFailedSince is when the first poll since the last answer failed.
