--- a/internal/workflow/estimator/estimator.go
+++ b/internal/workflow/estimator/estimator.go
@@ -24,7 +24,7 @@
 	// windowSteps is the number of recent steps that count: enough for a standard error of a twentieth of the spread,
 	// and few enough to follow a change within half a minute at ten steps per second.
 	windowSteps = 400
-	// priorSteps is how many steps the initial assumption counts for: that estimates are right up to a factor of
+	// priorSteps is how many steps the initial assumption counts for: that estimates are off by a factor of
 	// exp(priorSpread) and that the tasks of a step differ by a factor of exp(priorTaskSpread).
 	priorSteps      = 5
 	priorSpread     = 0.5
--- a/internal/workflow/estimator/statistics.go
+++ b/internal/workflow/estimator/statistics.go
@@ -4,8 +4,8 @@
 
 // Ended summarizes the tasks of a step that have ended.
 type Ended struct {
-	// Tasks counts the ended tasks whose run times were measured, Running those that have begun and not ended. The
-	// first tasks of a step to end are the shortest ones, which posterior takes into account.
+	// Tasks counts the ended tasks whose run times were measured, Running those that began no later and have not ended.
+	// The first tasks of a step to end are the shortest ones, which posterior takes into account.
 	Tasks, Running int
 	// sum and squares are the sums of the logarithms of the run times and of their squared deviations from their mean.
 	sum, squares float64
@@ -25,16 +25,18 @@
 	return e
 }
 
-// correctedMean is the mean of the run times of all tasks that have begun, given that those that ended are the
-// shortest, as for a sample of a normal distribution that is censored from above.
-func (e Ended) correctedMean(taskSpread float64) float64 {
+// censored returns the mean of the logarithms of the run times of all tasks that have begun, given that those that ended
+// are the shortest of them, and the number of tasks that such a mean is worth: the maximum likelihood estimate for a
+// sample of a normal distribution that is censored from above, and its Fisher information.
+func (e Ended) censored(taskSpread float64) (mean, tasks float64) {
 	if e.Running <= 0 {
-		return e.mean()
+		return e.mean(), float64(e.Tasks)
 	}
 	fraction := float64(e.Tasks) / float64(e.Tasks+e.Running)
 	quantile := math.Sqrt2 * math.Erfinv(2*fraction-1)
 	density := math.Exp(-quantile*quantile/2) / math.Sqrt(2*math.Pi)
-	return e.mean() + taskSpread*density/fraction
+	hazard := density / (1 - fraction)
+	return e.mean() + taskSpread*density/fraction, float64(e.Tasks) + float64(e.Running)*hazard*(hazard-quantile)
 }
 
 // statistics holds what is known of the steps of one key. Means and variances are moving ones over windowSteps; took and
@@ -83,15 +85,18 @@
 
 // prior returns the mean and variance of the logarithm of a step's run time given its estimate only.
 func (s *statistics) prior(declared float64) (mean, variance float64) {
-	known := s.steps / (s.steps + priorSteps)
 	slope := (s.steps*s.covariance + priorSteps*priorEstimateVariance) / (s.steps*s.varianceDeclared + priorSteps*priorEstimateVariance)
 	slope = min(max(slope, 0), maxSlope)
+	residual := s.varianceTook - 2*slope*s.covariance + slope*slope*s.varianceDeclared - s.taskVariance()*s.inverseTasks
+	variance = (s.steps*max(residual, 0) + priorSteps*priorSpread*priorSpread) / (s.steps + priorSteps)
+	// The clients' estimates are assumed to be off by a common factor of exp(priorSpread) as well.
+	declaredWeight := variance / (priorSpread * priorSpread)
+	known := s.steps / (s.steps + declaredWeight)
 	if s.steps >= knownSteps {
 		declared = clip(declared, s.meanDeclared)
 	}
 	fitted := s.meanTook + slope*(declared-s.meanDeclared)
-	residual := s.varianceTook - 2*slope*s.covariance + slope*slope*s.varianceDeclared - s.taskVariance()*s.inverseTasks
-	variance = known*max(residual, 0) + (1-known)*priorSpread*priorSpread
+	variance += variance / (s.steps + declaredWeight)
 	return known*fitted + (1-known)*declared, max(variance, minSpread*minSpread)
 }
 
@@ -102,7 +107,8 @@
 		return mean, variance
 	}
 	taskVariance := s.taskVariance()
-	precision := float64(ended.Tasks) / taskVariance
+	measured, tasks := ended.censored(math.Sqrt(taskVariance))
+	precision := tasks / taskVariance
 	posteriorVariance := 1 / (1/variance + precision)
-	return posteriorVariance * (mean/variance + precision*ended.correctedMean(math.Sqrt(taskVariance))), posteriorVariance
+	return posteriorVariance * (mean/variance + precision*measured), posteriorVariance
 }
--- a/internal/workflow/planner/golden_test.go
+++ b/internal/workflow/planner/golden_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/golden/comparer"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/estimator"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
 
@@ -18,6 +19,7 @@
 		"BoundsRow":   planner.BoundsRow{},
 		"LearntRow":   planner.LearntRow{},
 		"ReferralRow": planner.ReferralRow{},
+		"RunTimesRow": estimator.Row{},
 	})
 }
 
@@ -38,7 +40,7 @@
 	guestSpec, guestState := planner.DelegatedRowKeys("P", "w")
 	for name, lines := range map[string][]any{
 		"Keys": {planner.SpecKey("P", "w"), planner.StateKey("P", "w"), planner.ReferralKey("P", "w"), planner.DelegatedRowsKey("P"),
-			guestSpec, guestState, planner.LearntKey("P"), planner.LeaseBoundsKey("P")},
+			guestSpec, guestState, planner.LearntKey("P"), planner.RunTimesKey("P"), planner.LeaseBoundsKey("P")},
 		"TaskStates": planner.TaskStates(cottonlanding.CellNumber(7)),
 		"Verbs":      {planner.VerbStart, planner.VerbStop, planner.VerbPace},
 	} {
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -67,8 +67,10 @@
 	done  int
 	// ready says that all tasks of the earlier steps have succeeded.
 	ready bool
-	// ended summarizes the measured run times of the tasks that have ended.
-	ended estimator.Ended
+	// ended summarizes the measured run times of the tasks that have ended; lastMeasuredBegan is when the last of their
+	// runs began.
+	ended             estimator.Ended
+	lastMeasuredBegan cottonlanding.Millis
 	// load is the base load of a serving step.
 	load baseLoad
 	// nextRoomTry is the earliest time at which the planner may try again to preempt runs for the step.
--- a/internal/workflow/planner/runtimes.go
+++ b/internal/workflow/planner/runtimes.go
@@ -37,11 +37,12 @@
 	return estimator.Key{Queue: s.job.Queue, Fills: s.Fills}
 }
 
-// running counts the tasks that have begun and not ended.
+// running counts the tasks that are known to take longer than those that have ended: their runs began no later and are
+// not slowed.
 func (s *stage) running() int {
 	count := 0
 	for _, t := range s.tasks {
-		if t.run != nil && t.run.phase == started {
+		if r := t.run; r != nil && r.phase == started && r.ackedAt <= s.lastMeasuredBegan && r.paceGoal >= fullPace {
 			count++
 		}
 	}
@@ -73,7 +74,10 @@
 	}
 	before := s.ended.Tasks
 	s.ended = c.runTimes.Add(s.runTimesKey(), s.Estimate, s.ended, r.timeAtFullSpeed(now))
-	c.counts.RunTimesMeasured += int64(s.ended.Tasks - before)
+	if s.ended.Tasks > before {
+		c.counts.RunTimesMeasured++
+		s.lastMeasuredBegan = max(s.lastMeasuredBegan, r.ackedAt)
+	}
 }
 
 // recordStepTimes learns from a step once all of its tasks are done.
