--- a/internal/workflow/planner/export_test.go
+++ b/internal/workflow/planner/export_test.go
@@ -155,3 +155,22 @@
 func (c *Cell) DownFor(ref cottonlanding.TaskRef, now cottonlanding.Millis) cottonlanding.Millis {
 	return now - c.jobs[ref.Workflow].task(ref).downSince()
 }
+
+// RemainingPath exposes the expected duration of the longest chain of a workflow's unfinished steps.
+func (c *Cell) RemainingPath(id cottonlanding.WorkflowID) cottonlanding.Millis {
+	return c.jobs[id].remainingPath()
+}
+
+// Objective exposes the time in which a workflow should be done.
+func (c *Cell) Objective(id cottonlanding.WorkflowID) cottonlanding.Millis {
+	return c.jobs[id].latestForecast().objective
+}
+
+// AvoidedWorkers counts the workers that should get nothing while others have room.
+func (c *Cell) AvoidedWorkers(now cottonlanding.Millis) int {
+	count := 0
+	for _, w := range c.workers {
+		count += asInt(w.health.shouldAvoid(now))
+	}
+	return count
+}
--- a/internal/workflow/planner/poll.go
+++ b/internal/workflow/planner/poll.go
@@ -117,7 +117,7 @@
 	w.answeredUnlisted = !w.listed
 	w.pollFailed, w.polled = false, true
 	w.lifeUnconfirmed, w.orderUnanswered = false, false
-	w.endsUncertain = w.lastAnswerAt == 0 || sentAt-w.lastAnswerAt > maxEndUncertainty
+	w.endUncertainty = sentAt - w.lastAnswerAt
 	w.lastAnswerAt, w.lastAnswerPollSentAt = now, sentAt
 	w.recordContact(now)
 	w.markChanged()
--- a/internal/workflow/planner/runtimes.go
+++ b/internal/workflow/planner/runtimes.go
@@ -8,9 +8,13 @@
 	"github.com/cottonlanding/cottonlanding/internal/workflow/estimator"
 )
 
-// maxEndUncertainty is the longest time between the previous answer of a worker and the next poll of it with which the
-// ends in its answer are measured: a run may have ended at any time in between.
-const maxEndUncertainty = 300 * cottonlanding.Millis(1)
+// maxEndUncertainty is the longest time between a worker's answer and the next poll with which the ends that the poll
+// brings are measured: a run may have ended at any time in between. For long runs it is the fraction
+// 1/endUncertaintyDivisor of the expected time. A bound that depended on the measured time would favour long runs.
+const (
+	maxEndUncertainty     = 300 * cottonlanding.Millis(1)
+	endUncertaintyDivisor = 4
+)
 
 // RunTimesKey returns the key of the row that holds what was learnt of run times.
 func RunTimesKey(partition cottonlanding.Partition) cottonlanding.Key {
@@ -99,7 +103,8 @@
 // wasMeasured reports whether the beginning and the end of a run are known well enough.
 func (r *run) wasMeasured(t *task, now cottonlanding.Millis) bool {
 	return r.ackedAt > 0 && r.firstSentAt > 0 && r.unansweredStarts == 0 && !r.startedByOtherLife &&
-		!r.worker.endsUncertain && t.checkpointHolder().resumeFrom.text == "" && now > r.ackedAt
+		r.worker.endUncertainty <= max(maxEndUncertainty, t.stage.expectedTime()/endUncertaintyDivisor) &&
+		t.checkpointHolder().resumeFrom.text == "" && now > r.ackedAt
 }
 
 // accountFullSpeed adds the time since the last sample to the time that a filling run would have taken at full speed.
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -175,8 +175,8 @@
 	// lastAnswerAt is when the last poll answer came, lastAnswerPollSentAt when its poll was sent, pollFailed says
 	// that the last poll got no answer.
 	lastAnswerAt cottonlanding.Millis
-	// endsUncertain says that it is unknown when the runs ended whose ends came with the last answer.
-	endsUncertain        bool
+	// endUncertainty is for how long the runs may have ended before the poll that brought their ends was sent.
+	endUncertainty       cottonlanding.Millis
 	lastAnswerPollSentAt cottonlanding.Millis
 	pollFailed           bool
 	// pollFailedSince is when the first poll since the last answer failed.
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -74,6 +74,10 @@
 	onStart func(planner.Order)
 	// checkpoints makes workers list checkpoints and checks those that starts carry; nil disables both.
 	checkpoints *checkpointRecorder
+	// runTimesErr is the result of loading the learnt run times of the previous owner.
+	runTimesErr error
+	// fillReport changes the answers of workers, unless it is nil.
+	fillReport func(*cottonlanding.RunReport)
 	// ownedFor is for how long ownership of the cell is guaranteed after each turn; zero sets no guarantee.
 	ownedFor cottonlanding.Millis
 	// boundsKeptSince is the epoch from which on owners keep to lease bounds; zero is the first.
@@ -164,6 +168,9 @@
 	require.NoError(w.t, w.cell.Load(w.scan(planner.SpecKey(partition, "")), w.scan(planner.StateKey(partition, "")), w.now))
 	require.NoError(w.t, w.cell.LoadDelegated(w.scan(planner.DelegatedRowsKey(partition)), w.now))
 	w.cell.SetTableClock(w.tableClock())
+	if row, found := w.rows[planner.RunTimesKey(partition)]; found {
+		w.runTimesErr = w.cell.LoadRunTimes(row)
+	}
 	if row, found := w.rows[planner.LeaseBoundsKey(partition)]; found {
 		require.NoError(w.t, w.cell.LoadLeaseBounds(row, w.now))
 	}
@@ -285,6 +292,9 @@
 		return
 	}
 	w.checkpoints.fillReport(&report)
+	if w.fillReport != nil {
+		w.fillReport(&report)
+	}
 	w.cell.PollAnswered(next, report, w.now, w.now)
 }
 
