--- a/internal/workflow/driver/owner_test.go
+++ b/internal/workflow/driver/owner_test.go
@@ -49,6 +49,8 @@
 	// perWorkerSilence has each worker found silent by itself, spreadTasks has the tasks of a workflow placed wherever
 	// there is room.
 	perWorkerSilence, spreadTasks bool
+	// learnsRunTimes has the owner learn run times.
+	learnsRunTimes bool
 	// siblings are the partitions of the other cells.
 	siblings []cottonlanding.Partition
 	// modify may replace dependencies of the driver.
@@ -87,6 +89,7 @@
 	}}
 	policy := policyWithPlacement(s.policy)
 	policy.WatchesDataCentres, policy.KeepsInOneDataCentre = !s.perWorkerSilence, !s.spreadTasks
+	policy.LearnsRunTimes = s.learnsRunTimes
 	deps := driver.Dependencies{
 		Table:          table,
 		Workers:        client,
