--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -71,6 +71,9 @@
 	// runs began.
 	ended             estimator.Ended
 	lastMeasuredBegan cottonlanding.Millis
+	// estimated is the cached estimate of the step's run time, estimatedFrom what it was computed from.
+	estimated     *estimator.Estimate
+	estimatedFrom estimateBasis
 	// load is the base load of a serving step.
 	load baseLoad
 	// nextRoomTry is the earliest time at which the planner may try again to preempt runs for the step.
--- a/internal/workflow/planner/runtimes.go
+++ b/internal/workflow/planner/runtimes.go
@@ -30,11 +30,23 @@
 	if s.job.runTimes == nil || s.Lasting {
 		return estimator.Estimate{Expected: s.Estimate, High: s.Estimate}
 	}
-	ended := s.ended
-	if ended.Tasks > 0 && !s.finished() {
-		ended.Running = s.running()
+	basis := estimateBasis{revision: s.job.runTimes.Revision(), done: s.done, measured: s.ended.Tasks}
+	if s.estimated == nil || s.estimatedFrom != basis {
+		ended := s.ended
+		if ended.Tasks > 0 && !s.finished() {
+			ended.Running = s.running()
+		}
+		estimate := s.job.runTimes.Estimate(s.runTimesKey(), s.Estimate, ended)
+		s.estimated, s.estimatedFrom = &estimate, basis
 	}
-	return s.job.runTimes.Estimate(s.runTimesKey(), s.Estimate, ended)
+	return *s.estimated
+}
+
+// estimateBasis identifies what the cached estimate of a step was computed from. The estimate is computed again when a
+// task of the step ends or, at most once a second, when more was learnt of any queue.
+type estimateBasis struct {
+	revision       int64
+	done, measured int
 }
 
 func (s *stage) runTimesKey() estimator.Key {
--- a/policy.go
+++ b/policy.go
@@ -118,7 +118,8 @@
 	Delegate(task TaskRef, candidates []CellView) (CellNumber, bool)
 }
 
-// RankView describes an unfinished workflow by its client's estimates.
+// RankView describes an unfinished workflow by the expected run times of its steps: its client's
+// estimates, or what was learnt of them.
 type RankView struct {
 	// Age is the time since the workflow was accepted, Objective the time in which it should be done;
 	// zero is none.
