--- a/internal/workflow/planner/runtimes_test.go
+++ b/internal/workflow/planner/runtimes_test.go
@@ -71,6 +71,28 @@
 	}
 }
 
+// TestSlowWorkerIsFound guards against a worker that is eight times as slow as others and isn't found because clients
+// estimate ten times as much as is true, and against run times that are learnt from it.
+func TestSlowWorkerIsFound(t *testing.T) {
+	for variant, found := range map[string]int{"declared": 0, "learnt": 1} {
+		w := newLearningWorld(t, variant)
+		w.playWorkflows(20, "Urgent", estimated(10*meanRunTime))
+		before := w.cell.RemainingPath(w.submitNew(estimated(10 * meanRunTime)))
+		w.slowWorker = "w1"
+		require.Equal(t, found, w.playWorkflows(20, "Urgent", estimated(10*meanRunTime)), variant)
+		require.NotEmpty(t, w.slowTasks)
+		after := w.cell.RemainingPath(w.submitNew(estimated(10 * meanRunTime)))
+		require.InEpsilon(t, float64(before), float64(after), tolerance, variant)
+	}
+}
+
+// submitNew submits a workflow of one step under a new name.
+func (w *world) submitNew(step cottonlanding.Step) cottonlanding.WorkflowID {
+	id := cottonlanding.WorkflowID(fmt.Sprintf("new%d", w.now))
+	w.submit(id, "Urgent", step)
+	return id
+}
+
 // TestFillingRunsCountAtFullSpeed guards against filling tasks that got half of the processors that they ask for, or
 // half their pace, being taken for tasks that are twice as long.
 func TestFillingRunsCountAtFullSpeed(t *testing.T) {
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -70,6 +70,9 @@
 	// faultyTasks are the tasks that crash each worker that starts them, crashAfter is how long after their start.
 	faultyTasks map[cottonlanding.TaskRef]bool
 	crashAfter  cottonlanding.Millis
+	// slowWorker is a worker on which tasks take eight times as long; slowTasks are those started there.
+	slowWorker cottonlanding.WorkerID
+	slowTasks  map[cottonlanding.TaskRef]bool
 	// onStart is called for each start that is sent, unless it is nil.
 	onStart func(planner.Order)
 	// checkpoints makes workers list checkpoints and checks those that starts carry; nil disables both.
@@ -101,8 +104,10 @@
 		rows:     make(map[cottonlanding.Key]cottonlanding.Row),
 		accepted: make(map[cottonlanding.WorkflowID]bool),
 		timing:   timing,
-		policy:   policy,
-		log:      discardLog(),
+
+		slowTasks: make(map[cottonlanding.TaskRef]bool),
+		policy:    policy,
+		log:       discardLog(),
 		queues: cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{
 			"Urgent": {Name: "Urgent", Service: "S", Priority: 0, Attempts: 3, Stretch: 2, LatencyTarget: 1000},
 			"Bulk":   {Name: "Bulk", Service: "S", Priority: 2, Attempts: 2, Stretch: 2, LatencyTarget: 1000},
@@ -114,6 +119,9 @@
 		if strings.HasPrefix(string(key.Task.Workflow), "slow") {
 			lasts = slowDuration
 		}
+		if w.slowTasks[key.Task] {
+			lasts *= 8
+		}
 		fails := index%5 == 4 && key.Number == 1
 		forever := key.Task.Workflow[0] == 'l' && !(fails && key.Task.Workflow == failingLasting)
 		if strings.HasPrefix(string(key.Task.Workflow), failOncePrefix) {
@@ -242,6 +250,9 @@
 	ctx := context.Background()
 	switch order.Verb {
 	case planner.VerbStart:
+		if order.Worker.Life.Worker == w.slowWorker {
+			w.slowTasks[order.Start.Task] = true
+		}
 		if w.onStart != nil {
 			w.onStart(order)
 		}
