--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -70,10 +70,17 @@
 	// faultyTasks are the tasks that crash each worker that starts them, crashAfter is how long after their start.
 	faultyTasks map[cottonlanding.TaskRef]bool
 	crashAfter  cottonlanding.Millis
+	// slowWorker is a worker on which tasks take eight times as long; slowTasks are those started there.
+	slowWorker cottonlanding.WorkerID
+	slowTasks  map[cottonlanding.TaskRef]bool
 	// onStart is called for each start that is sent, unless it is nil.
 	onStart func(planner.Order)
 	// checkpoints makes workers list checkpoints and checks those that starts carry; nil disables both.
 	checkpoints *checkpointRecorder
+	// runTimesErr is the result of loading the learnt run times of the previous owner.
+	runTimesErr error
+	// fillReport changes the answers of workers, unless it is nil.
+	fillReport func(*cottonlanding.RunReport)
 	// ownedFor is for how long ownership of the cell is guaranteed after each turn; zero sets no guarantee.
 	ownedFor cottonlanding.Millis
 	// boundsKeptSince is the epoch from which on owners keep to lease bounds; zero is the first.
@@ -97,8 +104,10 @@
 		rows:     make(map[cottonlanding.Key]cottonlanding.Row),
 		accepted: make(map[cottonlanding.WorkflowID]bool),
 		timing:   timing,
-		policy:   policy,
-		log:      discardLog(),
+
+		slowTasks: make(map[cottonlanding.TaskRef]bool),
+		policy:    policy,
+		log:       discardLog(),
 		queues: cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{
 			"Urgent": {Name: "Urgent", Service: "S", Priority: 0, Attempts: 3, Stretch: 2, LatencyTarget: 1000},
 			"Bulk":   {Name: "Bulk", Service: "S", Priority: 2, Attempts: 2, Stretch: 2, LatencyTarget: 1000},
@@ -110,6 +119,9 @@
 		if strings.HasPrefix(string(key.Task.Workflow), "slow") {
 			lasts = slowDuration
 		}
+		if w.slowTasks[key.Task] {
+			lasts *= 8
+		}
 		fails := index%5 == 4 && key.Number == 1
 		forever := key.Task.Workflow[0] == 'l' && !(fails && key.Task.Workflow == failingLasting)
 		if strings.HasPrefix(string(key.Task.Workflow), failOncePrefix) {
@@ -164,6 +176,9 @@
 	require.NoError(w.t, w.cell.Load(w.scan(planner.SpecKey(partition, "")), w.scan(planner.StateKey(partition, "")), w.now))
 	require.NoError(w.t, w.cell.LoadDelegated(w.scan(planner.DelegatedRowsKey(partition)), w.now))
 	w.cell.SetTableClock(w.tableClock())
+	if row, found := w.rows[planner.RunTimesKey(partition)]; found {
+		w.runTimesErr = w.cell.LoadRunTimes(row)
+	}
 	if row, found := w.rows[planner.LeaseBoundsKey(partition)]; found {
 		require.NoError(w.t, w.cell.LoadLeaseBounds(row, w.now))
 	}
@@ -235,6 +250,9 @@
 	ctx := context.Background()
 	switch order.Verb {
 	case planner.VerbStart:
+		if order.Worker.Life.Worker == w.slowWorker {
+			w.slowTasks[order.Start.Task] = true
+		}
 		if w.onStart != nil {
 			w.onStart(order)
 		}
@@ -285,6 +303,9 @@
 		return
 	}
 	w.checkpoints.fillReport(&report)
+	if w.fillReport != nil {
+		w.fillReport(&report)
+	}
 	w.cell.PollAnswered(next, report, w.now, w.now)
 }
 
