planner: forecast serving loads with package forecaster

The decision Forecast selects the variant; linear remains the fallback and behaves as before, seasonal has no effect yet. The row of what was learnt carries the shared period.

--- a/internal/policy/selector/selector.go
+++ b/internal/policy/selector/selector.go
@@ -60,6 +60,13 @@
 	"worker": func() bool { return false },
 }
 
+// forecastVariants are the variants of how the load of serving steps is forecast: by the period that
+// they share, or by the latest slope.
+var forecastVariants = cataloger.Catalog[bool]{
+	"seasonal": func() bool { return true },
+	"linear":   func() bool { return false },
+}
+
 // colocationVariants are the variants of where the tasks of one workflow go.
 var colocationVariants = cataloger.Catalog[bool]{
 	"datacentre": func() bool { return true },
@@ -73,8 +80,8 @@
 }
 
 // New returns the policies with the given names. The error reports all unknown names. The decision
-// Together sets KeepsInOneDataCentre, Silence sets WatchesDataCentres, TakeOver sets Reclaim and News
-// sets UsesTableCopy.
+// Together sets KeepsInOneDataCentre, Silence sets WatchesDataCentres, Forecast sets ForecastsSeasons,
+// TakeOver sets Reclaim and News sets UsesTableCopy.
 func New(names Names) (Set, error) {
 	s := &selection{names: names}
 	set := Set{
@@ -89,6 +96,7 @@
 			Delegation:           choose(s, "Delegation", delegator.Catalog, delegator.Fallback)(),
 			KeepsInOneDataCentre: choose(s, "Together", colocationVariants, "datacentre")(),
 			WatchesDataCentres:   choose(s, "Silence", timeoutScopeVariants, "place")(),
+			ForecastsSeasons:     choose(s, "Forecast", forecastVariants, "linear")(),
 		},
 		Referral:      choose(s, "Referral", referrer.Catalog, referrer.Fallback)(),
 		Reclaim:       choose(s, "TakeOver", takeOverVariants, "reclaim")(),
--- a/internal/workflow/forecaster/series.go
+++ b/internal/workflow/forecaster/series.go
@@ -28,8 +28,8 @@
 // New returns a series without observations. Its forecast is linear if season is nil or knows no period.
 func New(season *Season) *Series { return &Series{season: season} }
 
-// Known reports whether the load was ever observed.
-func (s *Series) Known() bool { return s.linear.known() }
+// Known reports whether the load was ever observed. It isn't for a nil series.
+func (s *Series) Known() bool { return s != nil && s.linear.known() }
 
 // RampedUp reports whether the load has had rampUpTime to build up.
 func (s *Series) RampedUp(now cottonlanding.Millis) bool {
@@ -45,8 +45,21 @@
 	s.linear.observe(utilization, confidence, at)
 }
 
-// At returns the utilization expected at an instant, from 0 to 0.99.
-func (s *Series) At(at cottonlanding.Millis) float64 { return s.linear.forecastAt(at) }
+// At returns the utilization expected at an instant, from 0 to 0.99; 0 without observations.
+func (s *Series) At(at cottonlanding.Millis) float64 {
+	if !s.Known() {
+		return 0
+	}
+	return s.linear.forecastAt(at)
+}
+
+// Last returns the utilization expected at the latest observation; 0 without observations.
+func (s *Series) Last() float64 {
+	if !s.Known() {
+		return 0
+	}
+	return s.At(s.linear.at)
+}
 
 // Max returns the largest utilization expected in a span.
 func (s *Series) Max(from, to cottonlanding.Millis) float64 { return max(s.At(from), s.At(to)) }
--- a/internal/workflow/gateway/gauges.go
+++ b/internal/workflow/gateway/gauges.go
@@ -28,6 +28,8 @@
 		"runs_stuck":          counts.Stuck,
 		"runs_evicted":        counts.Preempted,
 		"tasks_delegated":     counts.Delegated,
+		"load_periods_found":  counts.SeasonsFound,
+		"load_periods_lost":   counts.SeasonsLost,
 	} {
 		gauge(name, float64(count))
 	}
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -150,6 +150,10 @@
 	// RevokedStarts counts runs that were revoked before their start was answered, because their worker may receive no
 	// new runs.
 	RevokedStarts int64
+	// SeasonsFound and SeasonsLost count how often a period that the loads of serving steps share was found, and how
+	// often one that was known no longer described them.
+	SeasonsFound int64
+	SeasonsLost  int64
 }
 
 // Add adds the counts of another cell to c.
@@ -167,6 +171,8 @@
 	c.HandedOver += other.HandedOver
 	c.Delegated += other.Delegated
 	c.RevokedStarts += other.RevokedStarts
+	c.SeasonsFound += other.SeasonsFound
+	c.SeasonsLost += other.SeasonsLost
 	if c.Ends == nil {
 		c.Ends = make(map[cottonlanding.EndKind]int64)
 	}
@@ -193,7 +199,7 @@
 		remote:             make(map[cottonlanding.WorkflowID]*job),
 		referrals:          make(map[cottonlanding.WorkflowID]*referral),
 		unplannedReferrals: make(map[cottonlanding.WorkflowID][]func(error)),
-		interference:       newInterference(policy.Disturbance),
+		interference:       newInterference(policy),
 		openLivesByWorker:  make(map[cottonlanding.WorkerID]*openLives),
 		counts:             Counts{Ends: make(map[cottonlanding.EndKind]int64)},
 	}
--- a/internal/workflow/planner/interference.go
+++ b/internal/workflow/planner/interference.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/forecaster"
 )
 
 // Serving tasks answer requests of their own users; their tail latency grows with their utilization as that of a queue
@@ -16,8 +17,6 @@
 	initialWeight = 1.5
 	// measurementSpan is the time that a worker's measurement covers.
 	measurementSpan = 450 * cottonlanding.Millis(1)
-	// maxExtrapolation is how far a load is extrapolated at most.
-	maxExtrapolation = 2500 * cottonlanding.Millis(1)
 	// paceLookahead and placementLookahead are how far a load is predicted when a pace is set, until the next
 	// measurement, and when a task is placed, for most of its run.
 	paceLookahead      = cottonlanding.Second
@@ -54,6 +53,8 @@
 // interference is the model of how images interfere with each other.
 type interference struct {
 	policy cottonlanding.DisturbancePolicy
+	// season is the period that the base loads share; nil if forecasts are linear.
+	season *forecaster.Season
 	// weights holds the estimated weights for each serving image.
 	weights map[cottonlanding.Image]*weightEstimate
 	// remoteEvidence holds what other cells have learnt.
@@ -66,9 +67,10 @@
 	toleratedCountsAt cottonlanding.Millis
 }
 
-func newInterference(policy cottonlanding.DisturbancePolicy) *interference {
+func newInterference(policy Policy) *interference {
 	return &interference{
-		policy:  policy,
+		policy:  policy.Disturbance,
+		season:  policy.newSeason(),
 		weights: make(map[cottonlanding.Image]*weightEstimate),
 		minTail: make(map[cottonlanding.Image]cottonlanding.Millis),
 	}
@@ -160,15 +162,18 @@
 		m.weights[s.step.Image] = known
 	}
 	utilization := m.utilization(s, s.tailLatency)
-	load := &s.task.stage.load
+	if s.task.stage.load == nil {
+		s.task.stage.load = forecaster.New(m.season)
+	}
+	load := s.task.stage.load
 	added, variance := m.predict(known, s.step.Image, used)
-	if utilization < maxComparableUtilization || load.known() && utilization > load.forecastAt(now)+added {
-		if load.hasRampedUp(now) && len(used) > 0 {
-			known.learn(used, utilization-load.forecastAt(now))
+	if utilization < maxComparableUtilization || load.Known() && utilization > load.At(now)+added {
+		if load.RampedUp(now) && len(used) > 0 {
+			known.learn(used, utilization-load.At(now))
 		}
 		noise := measurementNoise * measurementNoise
 		confidence := noise / (noise + variance + modelError*modelError*added*added)
-		load.observe(max(utilization-added, 0), confidence, now)
+		load.Observe(max(utilization-added, 0), confidence, now)
 	}
 }
 
@@ -216,8 +221,7 @@
 
 // expected returns the maximum of a serving task's base load now and after span.
 func (r *run) expected(now, span cottonlanding.Millis) float64 {
-	load := &r.task.stage.load
-	return max(load.forecastAt(now), load.forecastAt(now+span))
+	return r.task.stage.load.Max(now, now+span)
 }
 
 // share returns the fraction of the worker that a filling task uses at full pace.
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/forecaster"
 )
 
 // job is an accepted workflow, or one whose acceptance is being committed.
@@ -63,8 +64,8 @@
 	done  int
 	// ready says that all tasks of the earlier steps have succeeded.
 	ready bool
-	// load is the base load of a serving step.
-	load baseLoad
+	// load forecasts the base load of a serving step; nil until that was first measured.
+	load *forecaster.Series
 	// nextRoomTry is the earliest time at which the planner may try again to preempt runs for the step.
 	nextRoomTry cottonlanding.Millis
 	// loggedAt is when the reason for which the step waits was last logged.
--- a/internal/workflow/planner/learnt.go
+++ b/internal/workflow/planner/learnt.go
@@ -25,6 +25,9 @@
 // cells.
 type learntRow struct {
 	Serving []servingRow
+	// Period is the period that the loads of serving steps share; zero if unknown. Their phases aren't stored, as the
+	// clocks of owners differ.
+	Period cottonlanding.Millis `json:",omitempty"`
 }
 
 type servingRow struct {
@@ -58,6 +61,7 @@
 		slices.SortFunc(serving.Pairs, func(a, b pairRow) int { return cmp.Compare(a.Image, b.Image) })
 		out.Serving = append(out.Serving, serving)
 	}
+	out.Period = m.storedPeriod()
 	slices.SortFunc(out.Serving, func(a, b servingRow) int { return cmp.Compare(a.Image, b.Image) })
 	return out
 }
@@ -67,6 +71,9 @@
 
 // restore loads what a previous owner has learnt.
 func (m *interference) restore(row learntRow) {
+	if m.season != nil {
+		m.season.Restore(row.Period)
+	}
 	for _, serving := range row.Serving {
 		known := newWeightEstimate()
 		for _, pair := range serving.Pairs {
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -34,6 +34,7 @@
 	c.place(now)
 	c.returnDelegatedTasks(now)
 	c.prune(now)
+	c.updateSeason(now)
 	c.logDowntimes()
 	c.logBlocked(now)
 	c.logSummary(now)
@@ -275,10 +276,10 @@
 
 // servingUse returns the fraction of its CPU that a serving task is expected to use, taken to equal its load.
 func (r *run) servingUse() float64 {
-	if r.task == nil || !r.task.stage.load.known() {
+	if r.task == nil || !r.task.stage.load.Known() {
 		return defaultServingUse
 	}
-	return r.task.stage.load.value
+	return r.task.stage.load.Last()
 }
 
 // choose applies the placement policy to the candidates. For filling tasks a worker's free CPU is what is expected
--- a/internal/workflow/planner/policy.go
+++ b/internal/workflow/planner/policy.go
@@ -1,6 +1,9 @@
 package planner
 
-import "github.com/cottonlanding/cottonlanding"
+import (
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/forecaster"
+)
 
 // Policy holds the replaceable policies of the planner.
 type Policy struct {
@@ -25,6 +28,17 @@
 	// WatchesDataCentres says that nothing is started in a data centre whose workers fall silent together, rather than
 	// only on the workers that were found silent.
 	WatchesDataCentres bool
+	// ForecastsSeasons says that the loads of serving steps are forecast by the period that they share, rather than by
+	// their latest slope alone.
+	ForecastsSeasons bool
+}
+
+// newSeason returns the season of a cell, or nil if forecasts are linear.
+func (p Policy) newSeason() *forecaster.Season {
+	if !p.ForecastsSeasons {
+		return nil
+	}
+	return forecaster.NewSeason()
 }
 
 // placement returns the placement policy for a kind of task.
