--- a/internal/workflow/forecaster/season.go
+++ b/internal/workflow/forecaster/season.go
@@ -152,8 +152,8 @@
 	step := 1 / (span * stepsPerResolution)
 	lowest := 1 / min(1.5*span, float64(maxTriedPeriod))
 	highest := 1 / max(float64(minPeriod), minBinsPerPeriod*float64(s.width))
-	frequency, explained := found.best(lowest, highest+step/2, step)
-	frequency, explained = found.best(frequency-step, frequency+step, step/refinements)
+	frequency, _ := found.best(lowest, highest+step/2, step)
+	frequency, explained := found.best(frequency-step, frequency+step, step/refinements)
 	period := cottonlanding.Millis(1 / frequency)
 	if explained < minExplained || period < minPeriod || period > maxPeriod || minSeasonPeriods*float64(period) > span {
 		return
--- a/internal/workflow/forecaster/series.go
+++ b/internal/workflow/forecaster/series.go
@@ -178,9 +178,21 @@
 // Max returns the largest utilization expected in a span.
 func (s *Series) Max(from, to cottonlanding.Millis) float64 {
 	largest := max(s.At(from), s.At(to))
-	if s.Known() && s.seasonal() {
-		if crest := s.wave.crest(from); crest < to {
-			largest = max(largest, s.At(crest))
+	if !s.Known() || !s.seasonal() {
+		return largest
+	}
+	crest := s.wave.crest(from)
+	if crest < to {
+		largest = max(largest, s.At(crest))
+	}
+	if s.deviation.sum < 0 {
+		// As the deviation decays, the forecast may rise and fall while the wave falls, and the next crest is higher.
+		const step = correlationTime / 2
+		for at := from + step; at < min(to, from+5*step); at += step {
+			largest = max(largest, s.At(at))
+		}
+		if next := crest + s.wave.period; next < to {
+			largest = max(largest, s.At(next))
 		}
 	}
 	return largest
