--- a/internal/workflow/gateway/gauges.go
+++ b/internal/workflow/gateway/gauges.go
@@ -29,6 +29,8 @@
 		"runs_evicted":        counts.Preempted,
 		"tasks_delegated":     counts.Delegated,
 		"run_times_measured":  counts.RunTimesMeasured,
+		"load_periods_found":  counts.SeasonsFound,
+		"load_periods_lost":   counts.SeasonsLost,
 	} {
 		gauge(name, float64(count))
 	}
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -6,6 +6,7 @@
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/estimator"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/forecaster"
 )
 
 // job is an accepted workflow, or one whose acceptance is being committed.
@@ -74,8 +75,8 @@
 	// estimated is the cached estimate of the step's run time, estimatedFrom what it was computed from.
 	estimated     *estimator.Estimate
 	estimatedFrom estimateBasis
-	// load is the base load of a serving step.
-	load baseLoad
+	// load forecasts the base load of a serving step; nil until that was first measured.
+	load *forecaster.Series
 	// nextRoomTry is the earliest time at which the planner may try again to preempt runs for the step.
 	nextRoomTry cottonlanding.Millis
 	// loggedAt is when the reason for which the step waits was last logged.
--- a/internal/workflow/planner/policy.go
+++ b/internal/workflow/planner/policy.go
@@ -1,6 +1,9 @@
 package planner
 
-import "github.com/cottonlanding/cottonlanding"
+import (
+	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/forecaster"
+)
 
 // Policy holds the replaceable policies of the planner.
 type Policy struct {
@@ -27,6 +30,17 @@
 	WatchesDataCentres bool
 	// LearnsRunTimes says that run times are learnt from measured ones, rather than taken from the clients' estimates.
 	LearnsRunTimes bool
+	// ForecastsSeasons says that the loads of serving steps are forecast by the period that they share, rather than by
+	// their latest slope alone.
+	ForecastsSeasons bool
+}
+
+// newSeason returns the season of a cell, or nil if forecasts are linear.
+func (p Policy) newSeason() *forecaster.Season {
+	if !p.ForecastsSeasons {
+		return nil
+	}
+	return forecaster.NewSeason()
 }
 
 // placement returns the placement policy for a kind of task.
