--- a/internal/policy/selector/golden_test.go
+++ b/internal/policy/selector/golden_test.go
@@ -45,6 +45,7 @@
 			map[string]any{"byroom": delegator.ByRoom{}, "never": delegator.Never{}}},
 		{"Together", "datacentre", func(s selector.Set) any { return s.Planner.KeepsInOneDataCentre }, map[string]any{"datacentre": true, "never": false}},
 		{"Silence", "place", func(s selector.Set) any { return s.Planner.WatchesDataCentres }, map[string]any{"place": true, "worker": false}},
+		{"CommitOrder", "acceptance", func(s selector.Set) any { return s.Planner.CommitsCallersFirst }, map[string]any{"waiting": true, "acceptance": false}},
 		{"Referral", "byimage", func(s selector.Set) any { return s.Referral },
 			map[string]any{"byimage": referrer.ByImage{}, "byroom": referrer.ByRoom{}, "never": referrer.Never{}}},
 		{"TakeOver", "reclaim", func(s selector.Set) any { return s.Reclaim }, map[string]any{"reclaim": true, "silence": false}},
--- a/internal/policy/selector/selector.go
+++ b/internal/policy/selector/selector.go
@@ -72,8 +72,14 @@
 	"table": func() bool { return false },
 }
 
+// commitOrderVariants are the variants of which rows are committed first while the table is slow.
+var commitOrderVariants = cataloger.Catalog[bool]{
+	"waiting":    func() bool { return true },
+	"acceptance": func() bool { return false },
+}
+
 // New returns the policies with the given names. The error reports all unknown names. The decision
-// Together sets KeepsInOneDataCentre, Silence sets WatchesDataCentres, TakeOver sets Reclaim and News
+// Together sets KeepsInOneDataCentre, Silence sets WatchesDataCentres, CommitOrder sets CommitsCallersFirst, TakeOver sets Reclaim and News
 // sets UsesTableCopy.
 func New(names Names) (Set, error) {
 	s := &selection{names: names}
@@ -89,6 +95,7 @@
 			Delegation:           choose(s, "Delegation", delegator.Catalog, delegator.Fallback)(),
 			KeepsInOneDataCentre: choose(s, "Together", colocationVariants, "datacentre")(),
 			WatchesDataCentres:   choose(s, "Silence", timeoutScopeVariants, "place")(),
+			CommitsCallersFirst:  choose(s, "CommitOrder", commitOrderVariants, "acceptance")(),
 		},
 		Referral:      choose(s, "Referral", referrer.Catalog, referrer.Fallback)(),
 		Reclaim:       choose(s, "TakeOver", takeOverVariants, "reclaim")(),
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -74,7 +74,10 @@
 
 	dirty     map[cottonlanding.WorkflowID]*job
 	callbacks map[cottonlanding.WorkflowID][]func(error)
-	inFlight  *Plan
+	// changedByEnd lists the jobs that are marked dirty while recordingEnd is set.
+	changedByEnd []*job
+	recordingEnd bool
+	inFlight     *Plan
 	// referrals are the workflows of this home cell that other cells run. unplannedReferrals are those of them that are
 	// in no plan yet, with the callbacks that wait for their commit. A non-nil entry, even an empty one, means that the
 	// referral must be written.
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -37,6 +37,8 @@
 	dataCentre cottonlanding.DataCentre
 	// dirtySince is the value of Cell.plans at the first change of the job that is in no plan yet.
 	dirtySince int64
+	// lastPlan is the value of Cell.plans of the last plan with the job.
+	lastPlan int64
 	// persisted says that the job's rows exist; committedState is the state in its committed row.
 	persisted      bool
 	committedState cottonlanding.WorkflowState
@@ -280,6 +282,9 @@
 
 // markDirty marks a job whose state must be committed.
 func (c *Cell) markDirty(j *job) {
+	if c.recordingEnd {
+		c.changedByEnd = append(c.changedByEnd, j)
+	}
 	if c.dirty[j.ID] == nil {
 		c.dirty[j.ID], j.dirtySince = j, c.plans
 	}
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -1,10 +1,8 @@
 package planner
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -162,13 +160,13 @@
 		return nil
 	}
 	if _, due := c.boundsChanged(now); !due && len(c.dirty) == 0 && len(c.unplannedReferrals) == 0 && !c.learntDue(now) {
-		c.recordCommittedEnds(c.uncommittedEnds())
+		c.recordCommittedEnds(c.receivedEnds())
 		return nil
 	}
 	c.plans++
 	plan := &Plan{Checks: []cottonlanding.Check{c.setup.Guard}}
 	c.planReferrals(plan)
-	for _, id := range c.dirtyInOrder() {
+	for _, id := range c.dirtyInOrder(plan) {
 		if !plan.hasRoom(maxJobWrites) {
 			break
 		}
@@ -177,36 +175,18 @@
 		plan.callbacks = append(plan.callbacks, c.callbacks[id]...)
 		delete(c.callbacks, id)
 	}
-	if len(c.dirty) == 0 {
-		plan.recordedEnds = c.uncommittedEnds()
-	}
+	plan.recordedEnds = c.endsCommittedWith()
 	c.planLearnt(plan, now)
 	c.planBounds(plan, now)
 	c.inFlight = plan
 	return plan
 }
 
-// dirtyInOrder returns the jobs to commit: first overdue ones, then by priority, then by acceptance.
-func (c *Cell) dirtyInOrder() []cottonlanding.WorkflowID {
-	ids := slices.Collect(maps.Keys(c.dirty))
-	slices.SortFunc(ids, func(a, b cottonlanding.WorkflowID) int {
-		x, y := c.dirty[a], c.dirty[b]
-		return cmp.Or(
-			cmp.Compare(asInt(c.overdue(y)), asInt(c.overdue(x))),
-			cmp.Compare(x.queue.Priority, y.queue.Priority),
-			cmp.Compare(x.sequence, y.sequence),
-		)
-	})
-	return ids
-}
-
-// overdue reports whether the job's change was omitted from more than maxSkippedPlans plans.
-func (c *Cell) overdue(j *job) bool { return c.plans-j.dirtySince > maxSkippedPlans }
-
 func (c *Cell) planJob(plan *Plan, j *job, now cottonlanding.Millis) {
 	spec, state := c.rowKeys(j)
 	gone := c.expired(j, now)
 	plan.jobs = append(plan.jobs, j)
+	j.lastPlan = c.plans
 	plan.states = append(plan.states, j.state)
 	plan.deleted = append(plan.deleted, gone)
 	if gone {
@@ -280,22 +260,6 @@
 	return data
 }
 
-func (c *Cell) uncommittedEnds() map[*worker]uint64 {
-	out := make(map[*worker]uint64)
-	for _, w := range c.sortedWorkers() {
-		if w.receivedEnd > w.committedEnd {
-			out[w] = w.receivedEnd
-		}
-	}
-	return out
-}
-
-func (c *Cell) recordCommittedEnds(committedEnd map[*worker]uint64) {
-	for w, serial := range committedEnd {
-		w.committedEnd = max(w.committedEnd, serial)
-	}
-}
-
 // Committed records that the plan was committed, with version as the version of all its rows.
 func (c *Cell) Committed(plan *Plan, version cottonlanding.Version) {
 	c.inFlight = nil
@@ -329,9 +293,3 @@
 	c.recordCommittedEnds(plan.recordedEnds)
 	callAll(plan.callbacks, nil)
 }
-
-// EndsCommitted reports whether the consequences of all ends that the worker listed are committed.
-func (c *Cell) EndsCommitted(id cottonlanding.WorkerID) bool {
-	w := c.workers[id]
-	return w == nil || w.receivedEnd == w.committedEnd
-}
--- a/internal/workflow/planner/policy.go
+++ b/internal/workflow/planner/policy.go
@@ -25,6 +25,9 @@
 	// WatchesDataCentres says that nothing is started in a data centre whose workers fall silent together, rather than
 	// only on the workers that were found silent.
 	WatchesDataCentres bool
+	// CommitsCallersFirst says that rows for which a caller waits are committed first, and then those for which a start
+	// waits, rather than in the order of priority and acceptance. Ends are then acknowledged for each worker by itself.
+	CommitsCallersFirst bool
 }
 
 // placement returns the placement policy for a kind of task.
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -14,16 +14,21 @@
 func (c *Cell) recordEnds(w *worker, ends []cottonlanding.RunEnd, now cottonlanding.Millis) {
 	c.logSkippedEnds(w, ends)
 	for _, end := range ends {
+		if end.Serial <= w.receivedEnd {
+			continue
+		}
+		c.recordingEnd = c.policy.CommitsCallersFirst
 		c.recordEnd(w, end, now)
+		if c.recordingEnd {
+			c.addUncommittedEnd(w, end, now)
+		}
+		c.changedByEnd, c.recordingEnd = c.changedByEnd[:0], false
 	}
 	c.logEnded(w)
 }
 
-// recordEnd records the end of one run.
+// recordEnd records the end of one run, which wasn't received before.
 func (c *Cell) recordEnd(w *worker, end cottonlanding.RunEnd, now cottonlanding.Millis) {
-	if end.Serial <= w.receivedEnd {
-		return
-	}
 	if w.receivedEnd == w.committedEnd {
 		w.uncommittedSince = now
 	}
--- a/internal/workflow/planner/worker.go
+++ b/internal/workflow/planner/worker.go
@@ -187,6 +187,8 @@
 	receivedEnd     uint64
 	committedEnd    uint64
 	acknowledgedEnd uint64
+	// uncommittedEnds holds the ends after committedEnd, in order.
+	uncommittedEnds []uncommittedEnd
 	// uncommittedSince is since when receivedEnd has been ahead of committedEnd.
 	uncommittedSince cottonlanding.Millis
 
