--- a/internal/workflow/driver/calls.go
+++ b/internal/workflow/driver/calls.go
@@ -21,6 +21,9 @@
 func (d *Driver) Submit(ctx context.Context, workflow cottonlanding.Workflow) error {
 	var referred *ReferredError
 	err := d.update(ctx, func(cell *planner.Cell, now cottonlanding.Millis, done func(error)) {
+		if d.rejectIfTooSlow(ctx, cell, workflow.ID, now, done) {
+			return
+		}
 		if to, found := d.referral(cell, workflow, now); found {
 			referred = &ReferredError{to}
 			cell.Refer(workflow.ID, to, now, done)
--- a/internal/workflow/driver/driver.go
+++ b/internal/workflow/driver/driver.go
@@ -114,7 +114,10 @@
 	outbox         *outbox
 	startValidator *startValidator
 	meter          *meter
-	stalled        atomic.Bool
+	commitTimes    commitTimes
+	// refusing says that a submission was refused because commits are slow, and none has been fast since.
+	refusing atomic.Bool
+	stalled  atomic.Bool
 	// overloaded says that the last decision took longer than overloadThreshold.
 	overloaded atomic.Bool
 	// lastReport is the capacity report after the last decision.
@@ -256,7 +259,7 @@
 		if !owned {
 			return
 		}
-		d.await(d.stopping, pauseAfter(took))
+		d.await(d.stopping, d.pauseAfterTurn(took))
 		select {
 		case <-d.ctx.Done():
 			return
@@ -297,6 +300,10 @@
 	d.lastReport.Store(&lastReport{report, usable, now})
 	took.decided = d.deps.Clock.Now()
 	d.recordDecisionTime(took.decided - took.began)
+	d.commitTimes.recordDecided(took.decided - took.began)
+	if plan != nil {
+		d.commitTimes.recordBegan(took.decided)
+	}
 	d.mu.Unlock()
 	if superseded {
 		d.reportLost("a worker has seen a newer owner")
@@ -346,7 +353,10 @@
 			}
 			d.mu.Lock()
 			d.cell.Committed(plan, result.receipt.Version)
-			d.cell.SetTableSlow(d.deps.Clock.Now()-began >= slowCommitThreshold)
+			now := d.deps.Clock.Now()
+			d.cell.SetTableSlow(now-began >= slowCommitThreshold)
+			d.commitTimes.recordEnded(now)
+			d.recordCommitted(now - began)
 			if d.cell.TakeDelegationChange() {
 				d.delegationRequestsDue.Wake()
 			}
--- a/internal/workflow/driver/owner_test.go
+++ b/internal/workflow/driver/owner_test.go
@@ -49,6 +49,8 @@
 	// perWorkerSilence has each worker found silent by itself, spreadTasks has the tasks of a workflow placed wherever
 	// there is room.
 	perWorkerSilence, spreadTasks bool
+	// callersFirst has the owner commit the rows first for which callers wait.
+	callersFirst bool
 	// siblings are the partitions of the other cells.
 	siblings []cottonlanding.Partition
 	// modify may replace dependencies of the driver.
@@ -86,6 +88,7 @@
 		"Q": {Name: "Q", Service: "S", Attempts: 3, Stretch: 2, LatencyTarget: 1000},
 	}}
 	policy := policyWithPlacement(s.policy)
+	policy.CommitsCallersFirst = s.callersFirst
 	policy.WatchesDataCentres, policy.KeepsInOneDataCentre = !s.perWorkerSilence, !s.spreadTasks
 	deps := driver.Dependencies{
 		Table:          table,
--- a/internal/workflow/gateway/gauges.go
+++ b/internal/workflow/gateway/gauges.go
@@ -28,6 +28,8 @@
 		"runs_stuck":          counts.Stuck,
 		"runs_evicted":        counts.Preempted,
 		"tasks_delegated":     counts.Delegated,
+
+		"submissions_refused_slow_table": counts.RefusedSlowTable,
 	} {
 		gauge(name, float64(count))
 	}
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -153,6 +153,8 @@
 	// RevokedStarts counts runs that were revoked before their start was answered, because their worker may receive no
 	// new runs.
 	RevokedStarts int64
+	// RefusedSlowTable counts submissions that were refused because their commit would have come too late.
+	RefusedSlowTable int64
 }
 
 // Add adds the counts of another cell to c.
@@ -170,6 +172,7 @@
 	c.HandedOver += other.HandedOver
 	c.Delegated += other.Delegated
 	c.RevokedStarts += other.RevokedStarts
+	c.RefusedSlowTable += other.RefusedSlowTable
 	if c.Ends == nil {
 		c.Ends = make(map[cottonlanding.EndKind]int64)
 	}
--- a/internal/workflow/planner/commitorder.go
+++ b/internal/workflow/planner/commitorder.go
@@ -170,3 +170,11 @@
 	}
 	return writes
 }
+
+// PlansUntilSubmitted returns how many plans it takes until a workflow that is submitted now is in one.
+func (c *Cell) PlansUntilSubmitted() int {
+	return (c.CallerWrites() + maxJobWrites + maxCallerWrites - 1) / maxCallerWrites
+}
+
+// CountRefusedSlowTable counts a submission that was refused because its commit would have come too late.
+func (c *Cell) CountRefusedSlowTable() { c.counts.RefusedSlowTable++ }
