--- a/internal/workflow/driver/committimes.go
+++ b/internal/workflow/driver/committimes.go
@@ -49,12 +49,12 @@
 	c.inFlightSince = 0
 }
 
-// forecast returns how long it takes until the given number of plans after the one in flight are committed, and false
-// unless recent commits were slow. It assumes that all commits take as long as the longest recent one.
-func (c *commitTimes) forecast(plans int, now cottonlanding.Millis) (cottonlanding.Millis, bool) {
+// forecast returns how long the commit in flight still takes, and how long each further decision with its commit takes.
+// It assumes that all commits take as long as the longest recent one, and returns false unless that was slow.
+func (c *commitTimes) forecast(now cottonlanding.Millis) (inFlight, each cottonlanding.Millis, slow bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	longest, inFlight := cottonlanding.Millis(0), cottonlanding.Millis(0)
+	longest := cottonlanding.Millis(0)
 	for _, commit := range c.recent {
 		if now-commit.endedAt <= maxCommitAge {
 			longest = max(longest, commit.took)
@@ -64,5 +64,5 @@
 		longest = max(longest, now-c.inFlightSince)
 		inFlight = longest - (now - c.inFlightSince)
 	}
-	return inFlight + cottonlanding.Millis(plans)*(longest+c.deciding), longest >= slowCommitThreshold
+	return inFlight, longest + c.deciding, longest >= slowCommitThreshold
 }
--- a/internal/workflow/driver/slowtable.go
+++ b/internal/workflow/driver/slowtable.go
@@ -31,9 +31,13 @@
 	if !d.policy.CommitsCallersFirst || !limited || referred || cell.Knows(id) {
 		return false
 	}
+	inFlight, each, slow := d.commitTimes.forecast(now)
+	if !slow {
+		return false
+	}
+	needed := inFlight + each*cottonlanding.Millis(cell.PlansUntilSubmitted())
 	left := cottonlanding.Millis(time.Until(deadline).Milliseconds())
-	needed, slow := d.commitTimes.forecast(cell.PlansUntilSubmitted(), now)
-	if !slow || needed <= left {
+	if needed <= left {
 		return false
 	}
 	cell.CountRefusedSlowTable()
--- a/internal/workflow/planner/commitorder.go
+++ b/internal/workflow/planner/commitorder.go
@@ -171,9 +171,17 @@
 	return writes
 }
 
-// PlansUntilSubmitted returns how many plans it takes until a workflow that is submitted now is in one.
+// PlansUntilSubmitted returns how many plans it takes until a workflow that is submitted now is in one, by the rows and
+// the bytes of the callers before it.
 func (c *Cell) PlansUntilSubmitted() int {
-	return (c.CallerWrites() + maxJobWrites + maxCallerWrites - 1) / maxCallerWrites
+	size := 0
+	for id := range c.callbacks {
+		if j := c.dirty[id]; j != nil {
+			size += len(j.spec) + j.size.bytes()
+		}
+	}
+	rows := c.CallerWrites() + maxJobWrites
+	return max((rows+maxCallerWrites-1)/maxCallerWrites, 1+size/maxPlanBytes)
 }
 
 // CountRefusedSlowTable counts a submission that was refused because its commit would have come too late.
