--- a/internal/policy/selector/golden_test.go
+++ b/internal/policy/selector/golden_test.go
@@ -47,6 +47,7 @@
 		{"Silence", "place", func(s selector.Set) any { return s.Planner.WatchesDataCentres }, map[string]any{"place": true, "worker": false}},
 		{"RunTimes", "declared", func(s selector.Set) any { return s.Planner.LearnsRunTimes }, map[string]any{"declared": false, "learnt": true}},
 		{"Forecast", "linear", func(s selector.Set) any { return s.Planner.ForecastsSeasons }, map[string]any{"seasonal": true, "linear": false}},
+		{"CommitOrder", "acceptance", func(s selector.Set) any { return s.Planner.CommitsCallersFirst }, map[string]any{"waiting": true, "acceptance": false}},
 		{"Referral", "byimage", func(s selector.Set) any { return s.Referral },
 			map[string]any{"byimage": referrer.ByImage{}, "byroom": referrer.ByRoom{}, "never": referrer.Never{}}},
 		{"TakeOver", "reclaim", func(s selector.Set) any { return s.Reclaim }, map[string]any{"reclaim": true, "silence": false}},
--- a/internal/policy/selector/selector.go
+++ b/internal/policy/selector/selector.go
@@ -86,9 +86,16 @@
 	"table": func() bool { return false },
 }
 
+// commitOrderVariants are the variants of which rows are committed first while the table is slow.
+var commitOrderVariants = cataloger.Catalog[bool]{
+	"waiting":    func() bool { return true },
+	"acceptance": func() bool { return false },
+}
+
 // New returns the policies with the given names. The error reports all unknown names. The decision
 // Together sets KeepsInOneDataCentre, Silence sets WatchesDataCentres, RunTimes sets LearnsRunTimes,
-// Forecast sets ForecastsSeasons, TakeOver sets Reclaim and News sets UsesTableCopy.
+// Forecast sets ForecastsSeasons, CommitOrder sets CommitsCallersFirst, TakeOver sets Reclaim and News
+// sets UsesTableCopy.
 func New(names Names) (Set, error) {
 	s := &selection{names: names}
 	set := Set{
@@ -105,6 +112,7 @@
 			WatchesDataCentres:   choose(s, "Silence", timeoutScopeVariants, "place")(),
 			LearnsRunTimes:       choose(s, "RunTimes", runTimeVariants, "declared")(),
 			ForecastsSeasons:     choose(s, "Forecast", forecastVariants, "linear")(),
+			CommitsCallersFirst:  choose(s, "CommitOrder", commitOrderVariants, "acceptance")(),
 		},
 		Referral:      choose(s, "Referral", referrer.Catalog, referrer.Fallback)(),
 		Reclaim:       choose(s, "TakeOver", takeOverVariants, "reclaim")(),
--- a/internal/workflow/driver/owner_test.go
+++ b/internal/workflow/driver/owner_test.go
@@ -51,6 +51,8 @@
 	perWorkerSilence, spreadTasks bool
 	// learnsRunTimes has the owner learn run times.
 	learnsRunTimes bool
+	// callersFirst has the owner commit the rows first for which callers wait.
+	callersFirst bool
 	// siblings are the partitions of the other cells.
 	siblings []cottonlanding.Partition
 	// modify may replace dependencies of the driver.
@@ -88,6 +90,7 @@
 		"Q": {Name: "Q", Service: "S", Attempts: 3, Stretch: 2, LatencyTarget: 1000},
 	}}
 	policy := policyWithPlacement(s.policy)
+	policy.CommitsCallersFirst = s.callersFirst
 	policy.WatchesDataCentres, policy.KeepsInOneDataCentre = !s.perWorkerSilence, !s.spreadTasks
 	policy.LearnsRunTimes = s.learnsRunTimes
 	deps := driver.Dependencies{
--- a/internal/workflow/gateway/gauges.go
+++ b/internal/workflow/gateway/gauges.go
@@ -31,6 +31,8 @@
 		"run_times_measured":  counts.RunTimesMeasured,
 		"load_periods_found":  counts.SeasonsFound,
 		"load_periods_lost":   counts.SeasonsLost,
+
+		"submissions_refused_slow_table": counts.RefusedSlowTable,
 	} {
 		gauge(name, float64(count))
 	}
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -75,7 +75,10 @@
 
 	dirty     map[cottonlanding.WorkflowID]*job
 	callbacks map[cottonlanding.WorkflowID][]func(error)
-	inFlight  *Plan
+	// changedByEnd lists the jobs that are marked dirty while recordingEnd is set.
+	changedByEnd []*job
+	recordingEnd bool
+	inFlight     *Plan
 	// referrals are the workflows of this home cell that other cells run. unplannedReferrals are those of them that are
 	// in no plan yet, with the callbacks that wait for their commit. A non-nil entry, even an empty one, means that the
 	// referral must be written.
@@ -164,6 +167,8 @@
 	// often one that was known no longer described them.
 	SeasonsFound int64
 	SeasonsLost  int64
+	// RefusedSlowTable counts submissions that were refused because their commit would have come too late.
+	RefusedSlowTable int64
 }
 
 // Add adds the counts of another cell to c.
@@ -184,6 +189,7 @@
 	c.RevokedStarts += other.RevokedStarts
 	c.SeasonsFound += other.SeasonsFound
 	c.SeasonsLost += other.SeasonsLost
+	c.RefusedSlowTable += other.RefusedSlowTable
 	if c.Ends == nil {
 		c.Ends = make(map[cottonlanding.EndKind]int64)
 	}
--- a/internal/workflow/planner/policy.go
+++ b/internal/workflow/planner/policy.go
@@ -33,6 +33,9 @@
 	// ForecastsSeasons says that the loads of serving steps are forecast by the period that they share, rather than by
 	// their latest slope alone.
 	ForecastsSeasons bool
+	// CommitsCallersFirst says that rows for which a caller waits are committed first, and then those for which a start
+	// waits, rather than in the order of priority and acceptance. Ends are then acknowledged for each worker by itself.
+	CommitsCallersFirst bool
 }
 
 // newSeason returns the season of a cell, or nil if forecasts are linear.
