planner: budgets of filling tasks follow the scatter of samples (decision Headroom)

Cause: the goal of serving tasks, 0.85 of the latency target, ignores how far samples scatter, and a heavy filling task runs at full pace until its first sample.

Under "spread" the goal beside heavy pairs is the utilization at the target less 1.65 times the measured spread. Heavy tasks start where the budget lasts for their run, at the pace that it allows, and starts beside a serving task are limited until its next sample.

The rule is in policy/throttler and workflow/budgeter, without a cell. TestWaitLogCountsRejections knows the new count AwaitsSample, without which its sum would miss workers.

--- a/internal/policy/selector/golden_test.go
+++ b/internal/policy/selector/golden_test.go
@@ -17,6 +17,7 @@
 	"github.com/cottonlanding/cottonlanding/internal/policy/ranker"
 	"github.com/cottonlanding/cottonlanding/internal/policy/referrer"
 	"github.com/cottonlanding/cottonlanding/internal/policy/selector"
+	"github.com/cottonlanding/cottonlanding/internal/policy/throttler"
 	"github.com/cottonlanding/cottonlanding/internal/policy/weigher"
 )
 
@@ -35,6 +36,8 @@
 		{"FillingPlacement", "spread", func(s selector.Set) any { return s.Planner.FillingPlacement }, placements},
 		{"Disturbance", "trials", func(s selector.Set) any { return s.Planner.Disturbance },
 			map[string]any{"cautious": weigher.Cautious{}, "trials": weigher.Trials{}}},
+		{"Headroom", "fraction", func(s selector.Set) any { return s.Planner.Headroom },
+			map[string]any{"fraction": throttler.Fraction{}, "spread": throttler.Spread{}}},
 		{"Mixing", "leastlost", func(s selector.Set) any { return s.Planner.Mixing },
 			map[string]any{"anywhere": mixer.Anywhere{}, "leastlost": mixer.LeastLost{}}},
 		{"Ranking", "worth", func(s selector.Set) any { return s.Planner.Ranking },
--- a/internal/policy/selector/selector.go
+++ b/internal/policy/selector/selector.go
@@ -17,6 +17,7 @@
 	"github.com/cottonlanding/cottonlanding/internal/policy/placer"
 	"github.com/cottonlanding/cottonlanding/internal/policy/ranker"
 	"github.com/cottonlanding/cottonlanding/internal/policy/referrer"
+	"github.com/cottonlanding/cottonlanding/internal/policy/throttler"
 	"github.com/cottonlanding/cottonlanding/internal/policy/weigher"
 	"github.com/cottonlanding/cottonlanding/internal/workflow/planner"
 )
@@ -83,6 +84,7 @@
 			LastingPlacement:     choose(s, "LastingPlacement", placer.Catalog, "pack")(),
 			FillingPlacement:     choose(s, "FillingPlacement", placer.Catalog, "spread")(),
 			Disturbance:          choose(s, "Disturbance", weigher.Catalog, weigher.Fallback)(),
+			Headroom:             choose(s, "Headroom", throttler.Catalog, throttler.Fallback)(),
 			Mixing:               choose(s, "Mixing", mixer.Catalog, mixer.Fallback)(),
 			Ranking:              choose(s, "Ranking", ranker.Catalog, ranker.Fallback)(),
 			Blame:                choose(s, "Blame", blamer.Catalog, blamer.Fallback)(),
--- a/internal/workflow/gateway/gauges.go
+++ b/internal/workflow/gateway/gauges.go
@@ -18,16 +18,19 @@
 	gauge("workflow_owner", 1)
 	gauge("workflow_cells_owned", float64(g.Owned()))
 	for name, count := range map[string]int64{
-		"workflows_accepted":  counts.Accepted,
-		"workflows_succeeded": counts.Succeeded,
-		"workflows_failed":    counts.Failed,
-		"workflows_cancelled": counts.Cancelled,
-		"runs_started":        counts.Starts,
-		"runs_lost":           counts.Lost,
-		"workflows_convicted": counts.FailedByCrashes,
-		"runs_stuck":          counts.Stuck,
-		"runs_evicted":        counts.Preempted,
-		"tasks_delegated":     counts.Delegated,
+		"workflows_accepted":                       counts.Accepted,
+		"workflows_succeeded":                      counts.Succeeded,
+		"workflows_failed":                         counts.Failed,
+		"workflows_cancelled":                      counts.Cancelled,
+		"runs_started":                             counts.Starts,
+		"runs_lost":                                counts.Lost,
+		"workflows_convicted":                      counts.FailedByCrashes,
+		"runs_stuck":                               counts.Stuck,
+		"runs_evicted":                             counts.Preempted,
+		"tasks_delegated":                          counts.Delegated,
+		"serving_samples":                          counts.Samples,
+		"serving_samples_over_target":              counts.SamplesOverTarget,
+		"serving_samples_over_target_beside_heavy": counts.SamplesOverTargetBesideHeavy,
 	} {
 		gauge(name, float64(count))
 	}
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -101,8 +101,9 @@
 	learntAt      cottonlanding.Millis
 	learntVersion cottonlanding.Version
 	sequence      int64
-	// summaryAt is when the use of the workers was last logged.
-	summaryAt cottonlanding.Millis
+	// summaryAt is when the use of the workers was last logged, summaryCounts the counts at that time.
+	summaryAt     cottonlanding.Millis
+	summaryCounts Counts
 	// ended holds the lives that are known to have ended and whose entries are still listed.
 	ended map[cottonlanding.WorkerID]endedLife
 	// outages lists recent times at which workers fell silent, isolatedWorkers are the workers reserved for isolated
@@ -150,6 +151,11 @@
 	// RevokedStarts counts runs that were revoked before their start was answered, because their worker may receive no
 	// new runs.
 	RevokedStarts int64
+	// Samples counts the samples of serving tasks, SamplesOverTarget those over the latency target, and
+	// SamplesOverTargetBesideHeavy those of the latter that were taken while a filling task of a heavy pair worked.
+	Samples                      int64
+	SamplesOverTarget            int64
+	SamplesOverTargetBesideHeavy int64
 }
 
 // Add adds the counts of another cell to c.
@@ -167,6 +173,9 @@
 	c.HandedOver += other.HandedOver
 	c.Delegated += other.Delegated
 	c.RevokedStarts += other.RevokedStarts
+	c.Samples += other.Samples
+	c.SamplesOverTarget += other.SamplesOverTarget
+	c.SamplesOverTargetBesideHeavy += other.SamplesOverTargetBesideHeavy
 	if c.Ends == nil {
 		c.Ends = make(map[cottonlanding.EndKind]int64)
 	}
@@ -193,7 +202,7 @@
 		remote:             make(map[cottonlanding.WorkflowID]*job),
 		referrals:          make(map[cottonlanding.WorkflowID]*referral),
 		unplannedReferrals: make(map[cottonlanding.WorkflowID][]func(error)),
-		interference:       newInterference(policy.Disturbance),
+		interference:       newInterference(policy.Disturbance, policy.Headroom),
 		openLivesByWorker:  make(map[cottonlanding.WorkerID]*openLives),
 		counts:             Counts{Ends: make(map[cottonlanding.EndKind]int64)},
 	}
--- a/internal/workflow/planner/interference.go
+++ b/internal/workflow/planner/interference.go
@@ -4,6 +4,8 @@
 	"math"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/policy/throttler"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/budgeter"
 )
 
 // Serving tasks answer requests of their own users; their tail latency grows with their utilization as that of a queue
@@ -18,10 +20,8 @@
 	measurementSpan = 450 * cottonlanding.Millis(1)
 	// maxExtrapolation is how far a load is extrapolated at most.
 	maxExtrapolation = 2500 * cottonlanding.Millis(1)
-	// paceLookahead and placementLookahead are how far a load is predicted when a pace is set, until the next
-	// measurement, and when a task is placed, for most of its run.
-	paceLookahead      = cottonlanding.Second
-	placementLookahead = 2500 * cottonlanding.Millis(1)
+	// paceLookahead is how far a load is predicted when a pace is set, until the next measurement.
+	paceLookahead = cottonlanding.Second
 	// modelError is the relative error of the interference that the model predicts.
 	modelError = 0.3
 	// minUsage is the fraction of a worker below which filling tasks count as idle. It is also added to divisors that
@@ -30,47 +30,46 @@
 	// maxComparableUtilization is the utilization up to which a measurement is used: above, the tail latency says
 	// little.
 	maxComparableUtilization = 0.95
-	// latencyGoalFraction is the fraction of its latency target at which a serving task is kept, so that swings of its
-	// load stay below the target. docs/EXPERIMENTS.md compares 0.75, 0.85 and 0.95.
-	latencyGoalFraction = 0.85
 	// placementMargin is by how much the utilization of a serving task must be below its limit for another filling
 	// task to be placed beside it.
 	placementMargin = 0.03
 	// overTargetTimeout is how long a serving task may exceed its target before light filling tasks are stopped too.
 	// It leaves time before the excess counts as harm.
 	overTargetTimeout = 900 * cottonlanding.Millis(1)
-	// overshootCorrection is the factor by which an excess is corrected, so that the next measurement is below the
-	// goal although the load rises.
-	overshootCorrection = 2.0
 	// minPaceFraction is the fraction of its full pace that a filling task must be able to keep for it to be placed.
 	minPaceFraction = 0.5
 	// assumedMinTailFraction is the fraction of its latency target that an idle task's tail latency is assumed to be
 	// until one was measured.
 	assumedMinTailFraction = 0.25
-	// maxUtilization bounds the utilization derived from a long tail, which shows only that it is too high.
+	// maxUtilization bounds forecasts of the utilization; a long tail shows only that it is too high.
 	maxUtilization = 0.99
 )
 
 // interference is the model of how images interfere with each other.
 type interference struct {
-	policy cottonlanding.DisturbancePolicy
+	policy   cottonlanding.DisturbancePolicy
+	headroom cottonlanding.HeadroomPolicy
 	// weights holds the estimated weights for each serving image.
 	weights map[cottonlanding.Image]*weightEstimate
 	// remoteEvidence holds what other cells have learnt.
 	remoteEvidence evidenceByPair
 	// minTail is the shortest tail latency measured for an image.
 	minTail map[cottonlanding.Image]cottonlanding.Millis
+	// spreads holds the spread of the samples of each serving image.
+	spreads map[cottonlanding.Image]*budgeter.Spread
 	// toleratedCounts holds, by the set of images that serve together, how many filling images hardly interfere with
 	// them, as of toleratedCountsAt.
 	toleratedCounts   map[string]int
 	toleratedCountsAt cottonlanding.Millis
 }
 
-func newInterference(policy cottonlanding.DisturbancePolicy) *interference {
+func newInterference(policy cottonlanding.DisturbancePolicy, headroom cottonlanding.HeadroomPolicy) *interference {
 	return &interference{
-		policy:  policy,
-		weights: make(map[cottonlanding.Image]*weightEstimate),
-		minTail: make(map[cottonlanding.Image]cottonlanding.Millis),
+		policy:   policy,
+		headroom: headroom,
+		weights:  make(map[cottonlanding.Image]*weightEstimate),
+		minTail:  make(map[cottonlanding.Image]cottonlanding.Millis),
+		spreads:  make(map[cottonlanding.Image]*budgeter.Spread),
 	}
 }
 
@@ -105,11 +104,7 @@
 
 // utilization returns the utilization that a tail latency implies, between 0 and maxUtilization.
 func (m *interference) utilization(r *run, tail cottonlanding.Millis) float64 {
-	minTail := m.minTailOf(r)
-	if tail <= minTail {
-		return 0
-	}
-	return min(1-float64(minTail)/float64(tail), maxUtilization)
+	return throttler.UtilizationAt(tail, m.minTailOf(r))
 }
 
 func (m *interference) minTailOf(r *run) cottonlanding.Millis {
@@ -120,11 +115,6 @@
 	return max(minTail, 1)
 }
 
-// utilizationGoal returns the utilization at which a serving task is kept.
-func (m *interference) utilizationGoal(r *run) float64 {
-	return m.utilization(r, cottonlanding.Millis(latencyGoalFraction*float64(r.step.LatencyTarget)))
-}
-
 // learnInterference learns from the latest measurement of a worker.
 func (c *Cell) learnInterference(w *worker, serving, filling []*run, now cottonlanding.Millis) {
 	used := make(map[cottonlanding.Image]float64)
@@ -144,6 +134,7 @@
 			continue // no measurement, one across a change, or maybe the same as the last
 		}
 		s.sampledAt = now
+		c.recordSample(s, filling)
 		trials := c.interference.untriedAmong(used, s.step.Image)
 		c.interference.learnTask(s, used, now)
 		c.logTrialResults(trials, s.step.Image)
@@ -168,58 +159,48 @@
 		}
 		noise := measurementNoise * measurementNoise
 		confidence := noise / (noise + variance + modelError*modelError*added*added)
+		if load.hasRampedUp(now) && !m.anyDisturbing(used, s.step.Image) {
+			m.spreadOf(s.step.Image).Observe(utilization-added-load.forecastAt(now), confidence)
+		}
 		load.observe(max(utilization-added, 0), confidence, now)
 	}
 }
 
-// budget returns by how much the filling tasks may raise the utilization of a serving task: by what its base load
-// leaves, and, while it is over its goal, by less than they do now, whatever was learnt before. Light ones are
-// throttled only after the task has been over its target for overTargetTimeout: what they would lose at each peak
-// of the load is worth more.
-func (m *interference) budget(s *run, filling []*run, capacity cottonlanding.Millicores, now cottonlanding.Millis) budget {
-	out := budget{heavy: m.utilizationGoal(s) - s.expected(now, paceLookahead), light: math.Inf(1)}
-	if over := m.utilization(s, s.tailLatency) - m.utilizationGoal(s); over > 0 {
-		out.heavy = min(out.heavy, m.added(s, filling, capacity)-overshootCorrection*over)
-	}
+// budget returns by how much the filling tasks may raise the utilization of a serving task, as decided by Headroom;
+// added is by how much they raise it now. Tasks of heavy pairs are paused while it is over its latency target. Light
+// ones are throttled only after that has lasted for overTargetTimeout: what they would lose at each peak of the load is
+// worth more.
+func (m *interference) budget(s *run, added float64, now cottonlanding.Millis) budgeter.Budget {
+	load := &s.task.stage.load
+	out := budgeter.Budget{Light: math.Inf(1)}
+	out.Heavy = m.headroom.Budget(cottonlanding.SampleView{
+		Utilization: m.utilization(s, s.tailLatency), Goal: m.utilizationGoal(s),
+		Load: load.forecastAt(now), PeakLoad: load.maxForecast(now, now+paceLookahead), Added: added,
+	})
 	if s.tailLatency < s.step.LatencyTarget {
 		s.overTargetSince = 0
 		return out
 	}
-	out.heavy = 0
+	out.Heavy = 0
 	if s.overTargetSince == 0 {
 		s.overTargetSince = now
 	}
 	if now-s.overTargetSince >= overTargetTimeout {
-		out.light = 0
+		out.Light = 0
 	}
 	return out
 }
 
-// added returns by how much the filling tasks currently raise the utilization of a serving task.
-func (m *interference) added(s *run, filling []*run, capacity cottonlanding.Millicores) float64 {
-	sum := 0.0
-	for _, f := range filling {
-		sum += m.weight(f.step.Image, s.step.Image) * float64(f.used) / float64(capacity)
-	}
-	return sum
-}
-
 // slack returns by how much the utilization of a serving task may still rise, given its base load and the paces of
 // the filling tasks.
 func (m *interference) slack(s *run, filling []*run, capacity cottonlanding.Millicores, now cottonlanding.Millis) float64 {
-	slack := m.utilizationGoal(s) - s.expected(now, placementLookahead)
+	slack := m.utilizationGoal(s) - s.task.stage.load.maxForecast(now, now+m.headroom.PlacementSpan(0))
 	for _, f := range filling {
 		slack -= m.weight(f.step.Image, s.step.Image) * f.share(capacity) * float64(f.paceGoal) / fullPace
 	}
 	return slack
 }
 
-// expected returns the maximum of a serving task's base load now and after span.
-func (r *run) expected(now, span cottonlanding.Millis) float64 {
-	load := &r.task.stage.load
-	return max(load.forecastAt(now), load.forecastAt(now+span))
-}
-
 // share returns the fraction of the worker that a filling task uses at full pace.
 func (r *run) share(capacity cottonlanding.Millicores) float64 {
 	return float64(r.step.Resources.CPU) / float64(capacity)
@@ -245,11 +226,14 @@
 	if !c.trialAllowed(w, step, now) {
 		return 0
 	}
+	if c.policy.Headroom.LimitsStarts() {
+		return c.lastingPace(w, step, now)
+	}
 	share := float64(step.Resources.CPU) / float64(w.info.Capacity.CPU)
 	fraction := 1.0
 	for _, s := range c.room(w, now).slacks {
 		if weight := c.interference.weight(step.Image, s.image); weight > cottonlanding.LightWeight {
-			fraction = min(fraction, max(s.slack-placementMargin, 0)/(weight*share+minUsage))
+			fraction = min(fraction, budgeter.Fraction(s.slack-placementMargin, weight, share))
 		}
 	}
 	return fraction
--- a/internal/workflow/planner/pace.go
+++ b/internal/workflow/planner/pace.go
@@ -1,28 +1,21 @@
 package planner
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/workflow/budgeter"
 )
 
 const (
 	// fullPace is the pace of an unthrottled run, in percent.
-	fullPace = 100
+	fullPace = budgeter.FullPace
 	// unknownPace is the pace of a filling run whose last pace order may not have arrived, or came from a previous
 	// owner.
 	unknownPace = -1
 	// resendPaceAfter is when a pace is ordered again after an order without an answer. Workers may carry out such an
 	// order up to twelve seconds later.
 	resendPaceAfter = 12500 * cottonlanding.Millis(1)
-	// minPaceChange is the smallest change of pace that is worth an order, in percentage points.
-	minPaceChange = 15
-	// minPace is the lowest pace above zero, in percent.
-	minPace = 15
-	// maxPaceRise is the largest rise of a pace at a time, in percentage points: it limits the harm of a rough
-	// measurement until the next one.
-	maxPaceRise = 40
 	// pausedTimeout is how long a filling task is paused before it is moved. A step ends with its last task: if a
 	// tenth of all tasks are paused, most steps of twenty tasks contain one, and a task takes two seconds. The timeout
 	// is longer than a wrong measurement lasts, which is half a second.
@@ -40,26 +33,38 @@
 	if len(filling) == 0 {
 		return
 	}
-	budgets := make([]budget, len(serving))
-	w.overTarget = c.includesTrial(serving, filling)
-	for i, s := range serving {
-		budgets[i] = c.interference.budget(s, filling, w.info.Capacity.CPU, now)
-		w.overTarget = w.overTarget || c.interference.utilization(s, s.tailLatency) > c.interference.utilizationGoal(s)
-	}
-	slices.SortStableFunc(filling, func(a, b *run) int {
-		return cmp.Compare(c.maxWeight(a, serving), c.maxWeight(b, serving))
-	})
-	for _, f := range filling {
+	tasks := make([]budgeter.Task, len(filling))
+	added := make([]float64, len(serving))
+	for i, f := range filling {
 		f.resendPace(now)
-		share := f.share(w.info.Capacity.CPU)
-		fraction := 1.0
-		for i, s := range serving {
-			fraction = min(fraction, budgets[i].fraction(c.interference.weight(f.step.Image, s.step.Image), share))
+		tasks[i] = budgeter.Task{Weights: make([]float64, len(serving)), Share: f.share(w.info.Capacity.CPU), Pace: f.paceGoal}
+		for at, s := range serving {
+			weight := c.interference.weight(f.step.Image, s.step.Image)
+			tasks[i].Weights[at] = weight
+			added[at] += weight * float64(f.used) / float64(w.info.Capacity.CPU)
 		}
-		c.setPace(f, int(fraction*fullPace), now)
-		for i, s := range serving {
-			budgets[i].consume(c.interference.weight(f.step.Image, s.step.Image), share*float64(f.paceGoal)/fullPace)
+	}
+	c.watchClosely(w, serving, filling, tasks)
+	budgets := make([]budgeter.Budget, len(serving))
+	for at, s := range serving {
+		budgets[at] = c.interference.budget(s, added[at], now)
+	}
+	budgeter.SetPaces(budgets, tasks)
+	for i, f := range filling {
+		c.setPace(f, tasks[i].Pace, now)
+	}
+}
+
+// watchClosely has the worker polled often while a serving task exceeds the utilization goal that applies to the filling
+// tasks beside it, or while a trial runs there.
+func (c *Cell) watchClosely(w *worker, serving, filling []*run, tasks []budgeter.Task) {
+	w.overTarget = c.includesTrial(serving, filling)
+	for at, s := range serving {
+		goal := c.interference.lightGoal(s)
+		if slices.ContainsFunc(tasks, func(t budgeter.Task) bool { return t.Weights[at] > cottonlanding.LightWeight }) {
+			goal = c.interference.utilizationGoal(s)
 		}
+		w.overTarget = w.overTarget || c.interference.utilization(s, s.tailLatency) > goal
 	}
 }
 
@@ -71,46 +76,11 @@
 	}
 }
 
-// budget is by how much filling tasks may raise the utilization of one serving task: heavy limits those above
-// LightWeight, light the others.
-type budget struct {
-	heavy float64
-	light float64
-}
-
-// fraction returns the fraction of its full use that the budget leaves to a filling task.
-func (b budget) fraction(weight, share float64) float64 {
-	if weight > cottonlanding.LightWeight {
-		return max(b.heavy, 0) / (weight*share + minUsage)
-	}
-	return max(b.light, 0) / (weight*share + minUsage)
-}
-
-// consume subtracts what a filling task uses from the budget.
-func (b *budget) consume(weight, share float64) {
-	b.heavy -= weight * share
-	b.light -= weight * share
-}
-
-func (c *Cell) maxWeight(f *run, serving []*run) float64 {
-	worst := 0.0
-	for _, s := range serving {
-		worst = max(worst, c.interference.weight(f.step.Image, s.step.Image))
-	}
-	return worst
-}
-
-// setPace changes the target pace of a run if the change is worth an order, and moves a run that was paused for
-// pausedTimeout.
+// setPace changes the target pace of a run, and moves a run that was paused for pausedTimeout.
 func (c *Cell) setPace(f *run, pace int, now cottonlanding.Millis) {
-	pace = min(pace, f.paceGoal+maxPaceRise)
-	if pace < minPace {
-		pace = 0
-	}
-	change := pace - f.paceGoal
-	if change < 0 || change >= minPaceChange || change > 0 && pace == fullPace {
+	if pace != f.paceGoal {
 		c.log.Debug("pace", "Task", f.Task.String(), "Worker", f.worker.info.ID, "From", f.paceGoal, "To", pace)
-		if pace == 0 && f.paceGoal > 0 {
+		if pace == 0 {
 			f.paceSince = now
 		}
 		f.paceGoal = pace
@@ -133,3 +103,12 @@
 	}
 	return false
 }
+
+// maxWeight returns the largest weight of a filling task for the serving ones beside it.
+func (c *Cell) maxWeight(f *run, serving []*run) float64 {
+	worst := 0.0
+	for _, s := range serving {
+		worst = max(worst, c.interference.weight(f.step.Image, s.step.Image))
+	}
+	return worst
+}
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -129,12 +129,13 @@
 // pickUnlessCovered returns the worker for a task. It skips the search if a task of the same kind that needs no
 // more found no worker in this pass.
 func (c *Cell) pickUnlessCovered(t *task, failures *placementFailures, now cottonlanding.Millis) *worker {
-	if !failures.covers(t) {
+	wanted := c.placementFailureOf(t)
+	if !failures.covers(t, wanted) {
 		if w := c.pick(t, now); w != nil {
 			return w
 		}
 		if !c.needsIsolation(t, now) {
-			failures.add(t)
+			failures.add(t, wanted)
 		}
 	}
 	return c.pickStarved(t, now)
@@ -163,7 +164,8 @@
 	t.preemptionUntil = 0
 	t.pinCheckpoint()
 	key := cottonlanding.RunKey{Task: t.ref, Number: number}
-	t.run = &run{RunKey: key, task: t, worker: w, life: w, born: t.life.Born, step: t.stage.Step, pace: fullPace, paceGoal: fullPace, placedAt: now, progressedAt: now}
+	t.run = &run{RunKey: key, task: t, worker: w, life: w, born: t.life.Born, step: t.stage.Step,
+		pace: fullPace, paceGoal: c.initialPace(w, t.stage.Step, now), placedAt: now, progressedAt: now}
 	w.addRun(t.run)
 	t.job.placed = true
 	if t.job.state == cottonlanding.WorkflowPending {
@@ -313,19 +315,20 @@
 }
 
 // pickStarved returns a worker for a filling task whose workflow has had no run for starvationTimeout: the one that
-// can give it the most CPU. It is slowed there as far as the serving tasks require.
+// can give it the most CPU, or else whose serving tasks are the least over their goals. It is slowed there as far as the serving tasks require.
 func (c *Cell) pickStarved(t *task, now cottonlanding.Millis) *worker {
 	if !t.stage.Fills || now-t.waitingSince < starvationTimeout || now < t.stage.nextRoomTry || t.job.anyRun() {
 		return nil
 	}
 	var best *worker
-	most := -1.0
+	most, mostLeft := -1.0, 0.0
 	for _, w := range c.sortedWorkers() {
 		if !t.stage.Reserved().Fits(c.room(w, now).free) || !c.allowed(t, w, now) || c.blockedByIsolation(t, w, now) {
 			continue
 		}
-		if part := c.sustainablePace(w, t.stage.Step, now); part > most {
-			best, most = w, part
+		part, left := c.sustainablePace(w, t.stage.Step, now), c.heavyLeft(w, t.stage.Step, now)
+		if part > most || part == most && left > mostLeft {
+			best, most, mostLeft = w, part, left
 		}
 	}
 	return best
--- a/internal/workflow/planner/placementfailure.go
+++ b/internal/workflow/planner/placementfailure.go
@@ -10,6 +10,8 @@
 	kind    kind
 	image   cottonlanding.Image
 	need    cottonlanding.Resources
+	// span is for how long a budget must last for a filling task.
+	span cottonlanding.Millis
 }
 
 // placementFailures holds the failures of one pass.
@@ -17,7 +19,7 @@
 	failures []placementFailure
 }
 
-func placementFailureOf(t *task) placementFailure {
+func (c *Cell) placementFailureOf(t *task) placementFailure {
 	out := placementFailure{
 		service: t.job.queue.Service,
 		label:   t.stage.Requires,
@@ -26,27 +28,27 @@
 	}
 	if t.stage.Fills {
 		out.image = t.stage.Image // the interference with serving tasks depends on the image
+		out.span = c.policy.Headroom.PlacementSpan(t.stage.Estimate)
 	}
 	return out
 }
 
-// add records a failure, unless the task's own MostPerWorker limit may have caused it.
-func (f *placementFailures) add(t *task) {
+// add records the failure of a task, unless the task's own MostPerWorker limit may have caused it.
+func (f *placementFailures) add(t *task, failure placementFailure) {
 	if t.stage.MostPerWorker == 0 {
-		f.failures = append(f.failures, placementFailureOf(t))
+		f.failures = append(f.failures, failure)
 	}
 }
 
-// covers reports whether a failure of the pass shows that a task is guaranteed to find no worker. Lasting tasks are
-// never covered, since a worker may be held for one of them alone.
-func (f *placementFailures) covers(t *task) bool {
+// covers reports whether a failure of the pass shows that a task, described by wanted, is guaranteed to find no worker.
+// Lasting tasks are never covered, since a worker may be held for one of them alone.
+func (f *placementFailures) covers(t *task, wanted placementFailure) bool {
 	if t.stage.Lasting {
 		return false
 	}
-	wanted := placementFailureOf(t)
 	for _, m := range f.failures {
 		same := m.service == wanted.service && m.label == wanted.label && m.kind == wanted.kind && m.image == wanted.image
-		if same && m.need.Fits(wanted.need) {
+		if same && m.need.Fits(wanted.need) && m.span <= wanted.span {
 			return true
 		}
 	}
--- a/internal/workflow/planner/policy.go
+++ b/internal/workflow/planner/policy.go
@@ -13,6 +13,8 @@
 	// images share a worker.
 	Disturbance cottonlanding.DisturbancePolicy
 	Mixing      cottonlanding.MixingPolicy
+	// Headroom decides how far filling tasks may raise the utilization of serving tasks.
+	Headroom cottonlanding.HeadroomPolicy
 	// Ranking orders the workflows that wait for room.
 	Ranking cottonlanding.RankingPolicy
 	// Blame decides which tasks crash their workers.
--- a/internal/workflow/planner/rejection.go
+++ b/internal/workflow/planner/rejection.go
@@ -28,6 +28,8 @@
 	rejectedReserved
 	// rejectedDisturbing means that a filling task would disturb serving ones.
 	rejectedDisturbing
+	// rejectedUntilSample spreads the starts of filling tasks beside serving ones over several samples.
+	rejectedUntilSample
 	rejections
 )
 
@@ -51,6 +53,8 @@
 		return rejectedReserved
 	case t.stage.Fills && !c.acceptsFilling(t, w, now):
 		return rejectedDisturbing
+	case t.stage.Fills && c.awaitsSample(w, t.stage.Step, now):
+		return rejectedUntilSample
 	}
 	return notRejected
 }
--- a/internal/workflow/planner/rejection_test.go
+++ b/internal/workflow/planner/rejection_test.go
@@ -13,7 +13,7 @@
 )
 
 // rejectionKeys are the log keys of the counts of rejected workers.
-var rejectionKeys = []string{"Unusable", "Barred", "Full", "KeptForOther", "KeptApart", "Due", "WouldDisturb", "Fits"}
+var rejectionKeys = []string{"Unusable", "Barred", "Full", "KeptForOther", "KeptApart", "Due", "WouldDisturb", "AwaitsSample", "Fits"}
 
 // captureLog has a new owner, and those after it, log into a buffer.
 func (w *world) captureLog() *bytes.Buffer {
--- a/internal/workflow/planner/room.go
+++ b/internal/workflow/planner/room.go
@@ -26,6 +26,8 @@
 	hasTrial, hasTrialHeadroom bool
 	// slacks holds for each serving image by how much the load of its tasks may grow.
 	slacks []imageSlack
+	// startBudgets holds what the serving steps leave to filling tasks that start, if Headroom limits starts.
+	startBudgets []startBudget
 	// stopping is held by runs that are being stopped, preemptibleRooms by runs that could be stopped, by the
 	// priority of their queue.
 	stopping         cottonlanding.Resources
@@ -64,6 +66,11 @@
 	serving, filling := w.servingAndFilling()
 	w.room.hasTrial, w.room.hasTrialHeadroom = c.includesTrial(serving, filling), c.hasTrialHeadroom(serving)
 	for _, s := range serving {
+		if c.policy.Headroom.LimitsStarts() {
+			w.room.recordSlack(s.step.Image, 0) // startBudgets are used instead
+			w.room.recordStartBudget(c.interference.startBudget(s, filling, w.info.Capacity.CPU))
+			continue
+		}
 		w.room.recordSlack(s.step.Image, c.interference.slack(s, filling, w.info.Capacity.CPU, now))
 	}
 	return &w.room
--- a/internal/workflow/planner/summary.go
+++ b/internal/workflow/planner/summary.go
@@ -15,6 +15,11 @@
 	// mixed counts the workers that serve several images.
 	mixed int
 	kinds [kinds]usage
+	// heavyRuns counts the filling runs beside a serving task with which they form a heavy pair, heavyPaused those of
+	// them whose pace is zero.
+	heavyRuns, heavyPaused int
+	// spread is the largest spread of the samples of a serving image.
+	spread float64
 }
 
 // usage is what tasks of one kind use and how many of them wait.
@@ -41,7 +46,10 @@
 		"ShortRuns", short.runs, "ShortCPU", int64(short.cpu), "ShortWaiting", short.waiting,
 		"LastingRuns", lasting.runs, "LastingCPU", int64(lasting.cpu), "LastingWaiting", lasting.waiting,
 		"FillingRuns", filling.runs, "FillingCPU", int64(filling.cpu), "FillingUsed", int64(filling.used),
-		"FillingPaused", filling.paused, "FillingWaiting", filling.waiting)
+		"FillingPaused", filling.paused, "FillingWaiting", filling.waiting, "HeavyRuns", s.heavyRuns, "HeavyPaused", s.heavyPaused,
+		"Samples", c.counts.Samples-c.summaryCounts.Samples, "SamplesOverTarget", c.counts.SamplesOverTarget-c.summaryCounts.SamplesOverTarget,
+		"OverTargetBesideHeavy", c.counts.SamplesOverTargetBesideHeavy-c.summaryCounts.SamplesOverTargetBesideHeavy, "SampleSpread", rounded(s.spread))
+	c.summaryCounts = c.counts
 }
 
 func (c *Cell) summarize(now cottonlanding.Millis) summary {
@@ -49,14 +57,32 @@
 	for _, w := range c.sortedWorkers() {
 		if w.usable(now) {
 			out.addWorker(w, c.room(w, now))
+			c.summarizeHeavy(&out, w)
 		}
 	}
+	for _, spread := range c.interference.spreads {
+		out.spread = max(out.spread, spread.Value())
+	}
 	for _, s := range c.waitingStages(now) {
 		out.kinds[kindOf(s.Step)].waiting += s.waiting()
 	}
 	return out
 }
 
+// summarizeHeavy adds the heavy filling runs of a worker.
+func (c *Cell) summarizeHeavy(s *summary, w *worker) {
+	serving, filling := w.servingAndFilling()
+	for _, f := range filling {
+		if c.maxWeight(f, serving) <= cottonlanding.LightWeight {
+			continue
+		}
+		s.heavyRuns++
+		if f.paceGoal == 0 {
+			s.heavyPaused++
+		}
+	}
+}
+
 func (s *summary) addWorker(w *worker, room *room) {
 	s.usable++
 	s.capacity += w.info.Capacity.CPU
--- a/internal/workflow/planner/trial.go
+++ b/internal/workflow/planner/trial.go
@@ -56,7 +56,7 @@
 // measurements.
 func (c *Cell) hasTrialHeadroom(serving []*run) bool {
 	for _, s := range serving {
-		if s.tailLatency > 0 && c.interference.utilization(s, s.tailLatency) > c.interference.utilizationGoal(s)-trialHeadroom {
+		if s.tailLatency > 0 && c.interference.utilization(s, s.tailLatency) > c.interference.lightGoal(s)-trialHeadroom {
 			return false
 		}
 	}
--- a/internal/workflow/planner/waiting.go
+++ b/internal/workflow/planner/waiting.go
@@ -74,7 +74,8 @@
 	counts := c.countRejections(t, now)
 	log.Info("step waits", "Task", t.ref.String(), "Run", t.number, "Waited", now-t.waitingSince, "Workers", len(c.workers),
 		"Unusable", counts[rejectedUnusable], "Barred", counts[rejectedBarred], "Full", counts[rejectedFull], "KeptForOther", counts[rejectedHeld],
-		"KeptApart", counts[rejectedIsolated], "Due", counts[rejectedReserved], "WouldDisturb", counts[rejectedDisturbing], "Fits", counts[notRejected],
+		"KeptApart", counts[rejectedIsolated], "Due", counts[rejectedReserved], "WouldDisturb", counts[rejectedDisturbing], "AwaitsSample", counts[rejectedUntilSample],
+		"Fits", counts[notRejected],
 		"MayStart", t.job.mayStart(now), "CPU", int64(t.stage.Resources.CPU), "Memory", t.stage.Resources.Memory.String())
 }
 
--- a/policy.go
+++ b/policy.go
@@ -80,6 +80,40 @@
 	Untried(pair PairView) bool
 }
 
+// ServingView describes a serving task.
+type ServingView struct {
+	LatencyTarget Millis
+	// IdleTail is the tail latency of the task when idle.
+	IdleTail Millis
+	// Spread is the standard deviation of samples of the utilization around the forecast.
+	Spread float64
+}
+
+// SampleView describes a serving task when its utilization was sampled.
+type SampleView struct {
+	// Utilization is the sample, Goal the result of HeadroomPolicy.Goal.
+	Utilization, Goal float64
+	// Load is the utilization by the task's own users that is forecast for now, PeakLoad the largest until the next
+	// sample. Added is by how much the filling tasks beside it raise the utilization now.
+	Load, PeakLoad, Added float64
+}
+
+// HeadroomPolicy decides how far filling tasks that disturb may raise the utilization of a serving task. Tasks of light
+// pairs (LightWeight) are limited only by LimitsStarts.
+type HeadroomPolicy interface {
+	// Goal returns the utilization up to which filling tasks may raise that of the task.
+	Goal(task ServingView) float64
+	// Budget returns by how much filling tasks may raise the utilization until the next sample.
+	Budget(sample SampleView) float64
+	// PlacementSpan returns for how long a budget must last where a task that is expected to take that time is placed.
+	PlacementSpan(expected Millis) Millis
+	// PlacementWeight returns the weight to place a pair with; planned is the one that paces are planned with.
+	PlacementWeight(planned float64, pair PairView) float64
+	// LimitsStarts reports whether runs that no sample covers yet count at full pace and placement weight, and whether
+	// the budget limits the starts of light pairs too.
+	LimitsStarts() bool
+}
+
 // MixView describes a worker with serving tasks on which one of another image may be placed. A worker
 // tolerates the filling images that hardly disturb its serving tasks (LightWeight).
 type MixView struct {
