--- a/internal/workflow/planner/headroom.go
+++ b/internal/workflow/planner/headroom.go
@@ -49,7 +49,7 @@
 // startBudget is what the serving tasks of one step on a worker leave to filling tasks that start there.
 type startBudget struct {
 	image cottonlanding.Image
-	load  *baseLoad
+	stage *stage
 	// goal limits the tasks that disturb, target, the utilization at the latency target, all starts.
 	goal, target float64
 	// added is by how much the filling tasks on the worker raise the utilization, addedByDoubtful what those of heavy
@@ -60,7 +60,7 @@
 
 // startBudget returns what a serving task leaves to filling tasks that start beside it.
 func (m *interference) startBudget(s *run, filling []*run, capacity cottonlanding.Millicores) startBudget {
-	out := startBudget{image: s.step.Image, load: &s.task.stage.load, goal: m.utilizationGoal(s), target: m.utilization(s, s.step.LatencyTarget)}
+	out := startBudget{image: s.step.Image, stage: s.task.stage, goal: m.utilizationGoal(s), target: m.utilization(s, s.step.LatencyTarget)}
 	for _, f := range filling {
 		pair := m.pair(f.step.Image, s.step.Image)
 		weight := m.policy.Weight(pair)
@@ -97,7 +97,7 @@
 // recordStartBudget adds a budget, and merges it with that of another task of the same step.
 func (r *room) recordStartBudget(budget startBudget) {
 	for i := range r.startBudgets {
-		if same := &r.startBudgets[i]; same.load == budget.load {
+		if same := &r.startBudgets[i]; same.stage == budget.stage {
 			same.added, same.addedByDoubtful = max(same.added, budget.added), max(same.addedByDoubtful, budget.addedByDoubtful)
 			same.unsampled = max(same.unsampled, budget.unsampled)
 			return
@@ -109,8 +109,8 @@
 // left returns by how much a filling task that disturbs may raise the utilization during a span. A load that still
 // builds up is assumed to reach what serving tasks use on average.
 func (b *startBudget) left(now, span cottonlanding.Millis) float64 {
-	peak := b.load.maxForecast(now, now+span)
-	if !b.load.hasRampedUp(now) {
+	peak := b.stage.load.maxForecast(now, now+span)
+	if !b.stage.load.hasRampedUp(now) {
 		peak = max(peak, defaultServingUse)
 	}
 	return b.goal - peak - b.added
@@ -153,7 +153,7 @@
 		if b.unsampled == 0 {
 			continue
 		}
-		left := b.target - b.load.maxForecast(now, now+paceLookahead) - b.addedByDoubtful
+		left := b.target - b.stage.load.maxForecast(now, now+paceLookahead) - b.addedByDoubtful
 		if !budgeter.AllowsStart(left, c.interference.placementWeight(c.interference.pair(step.Image, b.image))*share, b.unsampled) {
 			return true
 		}
