--- a/internal/workflow/gateway/gauges.go
+++ b/internal/workflow/gateway/gauges.go
@@ -18,21 +18,23 @@
 	gauge("workflow_owner", 1)
 	gauge("workflow_cells_owned", float64(g.Owned()))
 	for name, count := range map[string]int64{
-		"workflows_accepted":  counts.Accepted,
-		"workflows_succeeded": counts.Succeeded,
-		"workflows_failed":    counts.Failed,
-		"workflows_cancelled": counts.Cancelled,
-		"runs_started":        counts.Starts,
-		"runs_lost":           counts.Lost,
-		"workflows_convicted": counts.FailedByCrashes,
-		"runs_stuck":          counts.Stuck,
-		"runs_evicted":        counts.Preempted,
-		"tasks_delegated":     counts.Delegated,
-		"run_times_measured":  counts.RunTimesMeasured,
-		"load_periods_found":  counts.SeasonsFound,
-		"load_periods_lost":   counts.SeasonsLost,
-
-		"submissions_refused_slow_table": counts.RefusedSlowTable,
+		"workflows_accepted":                       counts.Accepted,
+		"workflows_succeeded":                      counts.Succeeded,
+		"workflows_failed":                         counts.Failed,
+		"workflows_cancelled":                      counts.Cancelled,
+		"runs_started":                             counts.Starts,
+		"runs_lost":                                counts.Lost,
+		"workflows_convicted":                      counts.FailedByCrashes,
+		"runs_stuck":                               counts.Stuck,
+		"runs_evicted":                             counts.Preempted,
+		"tasks_delegated":                          counts.Delegated,
+		"run_times_measured":                       counts.RunTimesMeasured,
+		"load_periods_found":                       counts.SeasonsFound,
+		"load_periods_lost":                        counts.SeasonsLost,
+		"submissions_refused_slow_table":           counts.RefusedSlowTable,
+		"serving_samples":                          counts.Samples,
+		"serving_samples_over_target":              counts.SamplesOverTarget,
+		"serving_samples_over_target_beside_heavy": counts.SamplesOverTargetBesideHeavy,
 	} {
 		gauge(name, float64(count))
 	}
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -112,8 +112,9 @@
 	runTimesAt      cottonlanding.Millis
 	runTimesVersion cottonlanding.Version
 	sequence        int64
-	// summaryAt is when the use of the workers was last logged.
-	summaryAt cottonlanding.Millis
+	// summaryAt is when the use of the workers was last logged, summaryCounts the counts at that time.
+	summaryAt     cottonlanding.Millis
+	summaryCounts Counts
 	// ended holds the lives that are known to have ended and whose entries are still listed.
 	ended map[cottonlanding.WorkerID]endedLife
 	// outages lists recent times at which workers fell silent, isolatedWorkers are the workers reserved for isolated
@@ -169,6 +170,11 @@
 	SeasonsLost  int64
 	// RefusedSlowTable counts submissions that were refused because their commit would have come too late.
 	RefusedSlowTable int64
+	// Samples counts the samples of serving tasks, SamplesOverTarget those over the latency target, and
+	// SamplesOverTargetBesideHeavy those of the latter that were taken while a filling task of a heavy pair worked.
+	Samples                      int64
+	SamplesOverTarget            int64
+	SamplesOverTargetBesideHeavy int64
 }
 
 // Add adds the counts of another cell to c.
@@ -190,6 +196,9 @@
 	c.SeasonsFound += other.SeasonsFound
 	c.SeasonsLost += other.SeasonsLost
 	c.RefusedSlowTable += other.RefusedSlowTable
+	c.Samples += other.Samples
+	c.SamplesOverTarget += other.SamplesOverTarget
+	c.SamplesOverTargetBesideHeavy += other.SamplesOverTargetBesideHeavy
 	if c.Ends == nil {
 		c.Ends = make(map[cottonlanding.EndKind]int64)
 	}
--- a/internal/workflow/planner/rejection.go
+++ b/internal/workflow/planner/rejection.go
@@ -28,6 +28,8 @@
 	rejectedReserved
 	// rejectedDisturbing means that a filling task would disturb serving ones.
 	rejectedDisturbing
+	// rejectedUntilSample spreads the starts of filling tasks beside serving ones over several samples.
+	rejectedUntilSample
 	rejections
 )
 
@@ -51,6 +53,8 @@
 		return rejectedReserved
 	case t.stage.Fills && !c.acceptsFilling(t, w, now):
 		return rejectedDisturbing
+	case t.stage.Fills && c.awaitsSample(w, t.stage.Step, now):
+		return rejectedUntilSample
 	}
 	return notRejected
 }
@@ -70,7 +74,7 @@
 // acceptsFilling reports whether a filling task would get most of its CPU on a worker without disturbing others.
 func (c *Cell) acceptsFilling(t *task, w *worker, now cottonlanding.Millis) bool {
 	enough := float64(c.room(w, now).spare) >= minFillingShare*float64(t.stage.Resources.CPU)
-	return enough && c.sustainablePace(w, t.stage.Step, now) >= minPaceFraction
+	return enough && c.sustainablePace(w, t.stage, now) >= minPaceFraction
 }
 
 // countRejections counts the workers by why they are rejected for a task. It restores their cached room afterwards,
