Reject workflows that would be done too late to be of use

The owner of a cell measures the rate at which it completes work of a kind while work waits, and forecasts for each submitted workflow when it could be done. Workflows that the cell knows, was handed over or has referred are never rejected. The baseline is accept.

--- a/errors.go
+++ b/errors.go
@@ -37,3 +37,28 @@
 	// it are no longer available.
 	ErrHistoryGone = errors.New("the store has forgotten that history")
 )
+
+// retryError is an error after which the operation may be tried again.
+type retryError struct {
+	err   error
+	after Millis
+}
+
+// Error implements error.
+func (e *retryError) Error() string { return e.err.Error() }
+
+// Unwrap returns the error without its retry time.
+func (e *retryError) Unwrap() error { return e.err }
+
+// WithRetryAfter returns err with the time after which the operation should be tried again.
+func WithRetryAfter(err error, after Millis) error { return &retryError{err, after} }
+
+// RetryAfter returns the time after which an operation that failed with err should be tried again, and false if err
+// has none.
+func RetryAfter(err error) (Millis, bool) {
+	var retry *retryError
+	if !errors.As(err, &retry) {
+		return 0, false
+	}
+	return retry.after, true
+}
--- a/internal/policy/selector/golden_test.go
+++ b/internal/policy/selector/golden_test.go
@@ -8,6 +8,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/cottonlanding/cottonlanding/internal/golden/transcriber"
+	"github.com/cottonlanding/cottonlanding/internal/policy/admitter"
 	"github.com/cottonlanding/cottonlanding/internal/policy/blamer"
 	"github.com/cottonlanding/cottonlanding/internal/policy/delegator"
 	"github.com/cottonlanding/cottonlanding/internal/policy/evictor"
@@ -43,6 +44,8 @@
 			map[string]any{"count": blamer.Count{}, "apart": blamer.Isolation{}, "fair": blamer.Fair{}}},
 		{"Delegation", "byroom", func(s selector.Set) any { return s.Planner.Delegation },
 			map[string]any{"byroom": delegator.ByRoom{}, "never": delegator.Never{}}},
+		{"Overload", "accept", func(s selector.Set) any { return s.Planner.Overload },
+			map[string]any{"accept": admitter.Accept{}, "reject": admitter.Reject{}}},
 		{"Together", "datacentre", func(s selector.Set) any { return s.Planner.KeepsInOneDataCentre }, map[string]any{"datacentre": true, "never": false}},
 		{"Silence", "place", func(s selector.Set) any { return s.Planner.WatchesDataCentres }, map[string]any{"place": true, "worker": false}},
 		{"Referral", "byimage", func(s selector.Set) any { return s.Referral },
--- a/internal/policy/selector/selector.go
+++ b/internal/policy/selector/selector.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/cottonlanding/cottonlanding"
+	"github.com/cottonlanding/cottonlanding/internal/policy/admitter"
 	"github.com/cottonlanding/cottonlanding/internal/policy/blamer"
 	"github.com/cottonlanding/cottonlanding/internal/policy/cataloger"
 	"github.com/cottonlanding/cottonlanding/internal/policy/delegator"
@@ -87,6 +88,7 @@
 			Ranking:              choose(s, "Ranking", ranker.Catalog, ranker.Fallback)(),
 			Blame:                choose(s, "Blame", blamer.Catalog, blamer.Fallback)(),
 			Delegation:           choose(s, "Delegation", delegator.Catalog, delegator.Fallback)(),
+			Overload:             choose(s, "Overload", admitter.Catalog, admitter.Fallback)(),
 			KeepsInOneDataCentre: choose(s, "Together", colocationVariants, "datacentre")(),
 			WatchesDataCentres:   choose(s, "Silence", timeoutScopeVariants, "place")(),
 		},
--- a/internal/workflow/driver/calls.go
+++ b/internal/workflow/driver/calls.go
@@ -17,16 +17,21 @@
 func (e *ReferredError) Error() string { return fmt.Sprintf("the workflow is kept in cell %s", e.To) }
 
 // Submit submits a workflow to its home cell. The error is a ReferredError if another cell is to own the workflow;
-// ErrUnavailable, ErrNotFound or ErrCannotRun if it was not accepted; ErrAmbiguous if that is unknown.
+// ErrUnavailable, ErrNotFound or ErrCannotRun if it was not accepted, ErrBusy with a retry time if it was rejected
+// because of overload; ErrAmbiguous if that is unknown.
 func (d *Driver) Submit(ctx context.Context, workflow cottonlanding.Workflow) error {
 	var referred *ReferredError
 	err := d.update(ctx, func(cell *planner.Cell, now cottonlanding.Millis, done func(error)) {
 		if to, found := d.referral(cell, workflow, now); found {
-			referred = &ReferredError{to}
+			// While a hand-over is pending, this cell answers for the workflow that it had accepted: the other one may not
+			// know it yet, and reject it.
+			if !cell.HandOverPending(workflow.ID) {
+				referred = &ReferredError{to}
+			}
 			cell.Refer(workflow.ID, to, now, done)
 			return
 		}
-		d.accept(cell, workflow, now, done)
+		d.accept(cell, workflow, now, cell.Submit, done)
 	})
 	if err == nil && referred != nil {
 		return referred
@@ -49,19 +54,29 @@
 // SubmitReferred submits a workflow that its home cell has referred to this cell. The errors are those of Submit.
 func (d *Driver) SubmitReferred(ctx context.Context, workflow cottonlanding.Workflow) error {
 	return d.update(ctx, func(cell *planner.Cell, now cottonlanding.Millis, done func(error)) {
-		d.accept(cell, workflow, now, done)
+		d.accept(cell, workflow, now, cell.Submit, done)
+	})
+}
+
+// SubmitHandedOver is SubmitReferred for a workflow that its home cell had accepted and handed over.
+func (d *Driver) SubmitHandedOver(ctx context.Context, workflow cottonlanding.Workflow) error {
+	return d.update(ctx, func(cell *planner.Cell, now cottonlanding.Millis, done func(error)) {
+		d.accept(cell, workflow, now, cell.SubmitHandedOver, done)
 	})
 }
 
+// submitFunc is Submit or SubmitHandedOver of a cell.
+type submitFunc func(cottonlanding.Workflow, cottonlanding.Millis, func(error))
+
 // accept submits a workflow to this cell. An overloaded owner rejects new workflows immediately: the answer would come
 // too late, and each further workflow would make its decisions longer.
-func (d *Driver) accept(cell *planner.Cell, workflow cottonlanding.Workflow, now cottonlanding.Millis, done func(error)) {
+func (d *Driver) accept(cell *planner.Cell, workflow cottonlanding.Workflow, now cottonlanding.Millis, submit submitFunc, done func(error)) {
 	if d.overloaded.Load() && !cell.Knows(workflow.ID) {
 		// clients see this text
 		done(fmt.Errorf("the owner is behind with its decisions: %w", cottonlanding.ErrUnavailable))
 		return
 	}
-	cell.Submit(workflow, now, done)
+	submit(workflow, now, done)
 }
 
 // Cancel cancels a workflow. The errors are those of Submit.
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -269,9 +269,10 @@
 }
 
 // Submit submits a workflow. ErrUnavailable, ErrNotFound and ErrCannotRun mean that it was not accepted and never will
-// be, ErrAmbiguous that it may have been accepted.
+// be, ErrBusy that it was rejected because of overload, with a retry time, and ErrAmbiguous that it may have been
+// accepted.
 func (g *Gateway) Submit(ctx context.Context, workflow cottonlanding.Workflow) error {
-	return g.callFollowingReferral(workflow.ID, func(p *participant) error { return p.submit(ctx, workflow) })
+	return g.callFollowingReferral(workflow.ID, func(p *participant) error { return p.submit(ctx, workflow, false) })
 }
 
 // Cancel cancels a workflow. The errors are those of Submit.
--- a/internal/workflow/gateway/gateway_test.go
+++ b/internal/workflow/gateway/gateway_test.go
@@ -37,6 +37,7 @@
 	workers  []cottonlanding.WorkerInfo
 	perCell  int
 	referral cottonlanding.ReferralPolicy
+	overload cottonlanding.OverloadPolicy
 	// slowThreshold is the duration of a call from which on hosts consider the table slow.
 	slowThreshold cottonlanding.Millis
 	// restarts counts the hosts that were started to replace killed ones.
@@ -132,11 +133,16 @@
 
 // deployWithSlowCall starts hosts that consider the table slow if calls take slowThreshold or longer.
 func deployWithSlowCall(t *testing.T, cells int, referral cottonlanding.ReferralPolicy, slowThreshold cottonlanding.Millis) *deployment {
+	return deployWithOverload(t, cells, referral, slowThreshold, selector.Default().Planner.Overload)
+}
+
+// deployWithOverload is deployWithSlowCall with a policy that may reject workflows.
+func deployWithOverload(t *testing.T, cells int, referral cottonlanding.ReferralPolicy, slowThreshold cottonlanding.Millis, overload cottonlanding.OverloadPolicy) *deployment {
 	const workersPerCell = 4
 	clock := cottonlanding.NewClock()
 	store := keeper.New()
 	recorded := newRecorder(store)
-	d := &deployment{t: t, clock: clock, watched: store.Watched(clock), table: &faultyTable{Table: recorded}, recorder: recorded, perCell: workersPerCell, referral: referral, slowThreshold: slowThreshold}
+	d := &deployment{t: t, clock: clock, watched: store.Watched(clock), table: &faultyTable{Table: recorded}, recorder: recorded, perCell: workersPerCell, referral: referral, overload: overload, slowThreshold: slowThreshold}
 	d.runner = runner.New(clock, func(key cottonlanding.RunKey) runner.Fate {
 		return runner.Fate{Lasts: 100, Forever: strings.HasPrefix(string(key.Task.Workflow), "lasting")}
 	})
@@ -176,6 +182,8 @@
 	queues := cottonlanding.Queues{Version: 1, Queues: map[cottonlanding.QueueName]cottonlanding.Queue{
 		"Q": {Name: "Q", Service: "S", Attempts: 3, Stretch: 2, LatencyTarget: 1000},
 	}}
+	policy := selector.Default().Planner
+	policy.Overload = d.overload
 	lists := d.newLists()
 	d.lists = append(d.lists, lists)
 	host, err := gateway.New(gateway.Settings{
@@ -184,7 +192,7 @@
 		Holder: holder.Timing{TTL: 600, SlowTTL: 2000, SlowCall: d.slowThreshold, Poll: 100, Timeout: 500, SlowTimeout: 1000, SmallShareDelay: 300, SlowSmallShareDelay: 300,
 			DelayPerOwned: 300, Jitter: 50},
 		Planner:        planner.Timing{Lease: 3000, CutOffGrace: 1000, StopTimeout: 300, Retention: cottonlanding.Minute},
-		Policy:         selector.Default().Planner,
+		Policy:         policy,
 		Referral:       d.referral,
 		WorkersPerCell: d.perCell,
 	}, gateway.Dependencies{
--- a/internal/workflow/gateway/gauges.go
+++ b/internal/workflow/gateway/gauges.go
@@ -19,6 +19,7 @@
 	gauge("workflow_cells_owned", float64(g.Owned()))
 	for name, count := range map[string]int64{
 		"workflows_accepted":  counts.Accepted,
+		"workflows_rejected":  counts.Rejected,
 		"workflows_succeeded": counts.Succeeded,
 		"workflows_failed":    counts.Failed,
 		"workflows_cancelled": counts.Cancelled,
--- a/internal/workflow/gateway/ownercalls.go
+++ b/internal/workflow/gateway/ownercalls.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
 
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/peer/messenger"
@@ -86,29 +87,39 @@
 	})
 }
 
-// submit submits a workflow to its home cell, or to the cell to which its home has referred it.
-func (p *participant) submit(ctx context.Context, workflow cottonlanding.Workflow) error {
+// handedOverKey is the metadata key that is set if the workflow of a submission is handed over.
+const handedOverKey = "handed-over"
+
+// submit submits a workflow to its home cell, or to the cell to which its home has referred it or handed it over.
+func (p *participant) submit(ctx context.Context, workflow cottonlanding.Workflow, handedOver bool) error {
 	if local := p.local(); local != nil {
-		return p.submitLocal(ctx, local, workflow)
+		return p.submitLocal(ctx, local, workflow, handedOver)
 	}
 	body, err := json.Marshal(workflow)
 	if err != nil {
 		return fmt.Errorf("encode workflow: %w", err)
 	}
+	if handedOver {
+		ctx = metadata.AppendToOutgoingContext(ctx, handedOverKey, "1")
+	}
+	var trailer metadata.MD
 	_, err = p.callOwner(ctx, func(ctx context.Context, owner wire.WorkflowsClient) (*wire.WorkflowReply, error) {
-		return owner.Submit(ctx, &wire.WorkflowSubmit{Workflow: body, Cell: int32(p.cell)})
+		return owner.Submit(ctx, &wire.WorkflowSubmit{Workflow: body, Cell: int32(p.cell)}, grpc.Trailer(&trailer))
 	})
-	return err
+	return messenger.WithRetryAfter(err, trailer)
 }
 
 // submitLocal submits a workflow to the driver of this cell.
-func (p *participant) submitLocal(ctx context.Context, local *driver.Driver, workflow cottonlanding.Workflow) error {
+func (p *participant) submitLocal(ctx context.Context, local *driver.Driver, workflow cottonlanding.Workflow, handedOver bool) error {
 	home, err := p.gateway.home(workflow.ID)
 	if err != nil {
 		return err
 	}
-	if home == p {
+	switch {
+	case home == p:
 		return local.Submit(ctx, workflow)
+	case handedOver:
+		return local.SubmitHandedOver(ctx, workflow)
 	}
 	return local.SubmitReferred(ctx, workflow)
 }
--- a/internal/workflow/gateway/participant.go
+++ b/internal/workflow/gateway/participant.go
@@ -136,7 +136,7 @@
 	if destination == nil {
 		return fmt.Errorf("cell %s isn't known here: %w", to, cottonlanding.ErrUnavailable)
 	}
-	return destination.submit(ctx, workflow)
+	return destination.submit(ctx, workflow, true)
 }
 
 // isHome reports whether this cell is the home of a workflow.
--- a/internal/workflow/gateway/peerserver.go
+++ b/internal/workflow/gateway/peerserver.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 
+	"google.golang.org/grpc/metadata"
+
 	"github.com/cottonlanding/cottonlanding"
 	"github.com/cottonlanding/cottonlanding/internal/peer/messenger"
 	"github.com/cottonlanding/cottonlanding/internal/peer/wire"
@@ -51,7 +53,10 @@
 	if err != nil {
 		return reply(err), nil
 	}
-	return reply(p.submitLocal(ctx, owner, workflow)), nil
+	handedOver := len(metadata.ValueFromIncomingContext(ctx, handedOverKey)) > 0
+	err = p.submitLocal(ctx, owner, workflow, handedOver)
+	messenger.SetRetryAfter(ctx, err)
+	return reply(err), nil
 }
 
 // Cancel implements wire.WorkflowsServer.
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -122,11 +122,14 @@
 	counts       Counts
 	logBatch     logBatch
 	downtimeLogs downtimeLogs
+	overload     overload
 }
 
 // Counts counts the decisions in a cell since its owner took it over.
 type Counts struct {
-	Accepted  int64
+	Accepted int64
+	// Rejected counts submissions that were rejected because of overload.
+	Rejected  int64
 	Succeeded int64
 	Failed    int64
 	Cancelled int64
@@ -155,6 +158,7 @@
 // Add adds the counts of another cell to c.
 func (c *Counts) Add(other Counts) {
 	c.Accepted += other.Accepted
+	c.Rejected += other.Rejected
 	c.Succeeded += other.Succeeded
 	c.Failed += other.Failed
 	c.Cancelled += other.Cancelled
@@ -195,6 +199,7 @@
 		unplannedReferrals: make(map[cottonlanding.WorkflowID][]func(error)),
 		interference:       newInterference(policy.Disturbance),
 		openLivesByWorker:  make(map[cottonlanding.WorkerID]*openLives),
+		overload:           newOverload(),
 		counts:             Counts{Ends: make(map[cottonlanding.EndKind]int64)},
 	}
 }
--- a/internal/workflow/planner/forecast.go
+++ b/internal/workflow/planner/forecast.go
@@ -7,6 +7,8 @@
 type forecast struct {
 	// work is that of all tasks, left that of the unfinished ones, in millicore-milliseconds.
 	work, left float64
+	// counted is left with the estimates of tasks bounded by maxCountedEstimate.
+	counted float64
 	// objective is the time in which the workflow should be done, chainLeft the longest chain of estimates through
 	// the unfinished steps; both are set only if its queue has an objective.
 	objective, chainLeft cottonlanding.Millis
@@ -17,6 +19,7 @@
 	if j.forecast == nil {
 		j.forecast = &forecast{}
 		j.forecast.work, j.forecast.left = j.work()
+		j.forecast.counted = j.countedWork()
 		if j.queue.Stretch > 0 {
 			chain := j.longestChain(func(*stage) bool { return true })
 			j.forecast.objective = cottonlanding.Millis(j.queue.Stretch*float64(chain)) + j.queue.LatencyTarget
@@ -53,6 +56,17 @@
 	return all, left
 }
 
+// countedWork returns the work of the unfinished tasks as forecasts of completion count it.
+func (j *job) countedWork() float64 {
+	sum := 0.0
+	for _, r := range j.rounds {
+		for _, s := range r.steps {
+			sum += countedWork(s.Step) * float64(len(s.tasks)-s.done)
+		}
+	}
+	return sum
+}
+
 func (j *job) longestChain(counts func(*stage) bool) cottonlanding.Millis {
 	r := j.rounds[0]
 	if r == nil {
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -28,6 +28,10 @@
 	// hasLasting says that a step of the job is lasting; interrupted says that a task of such a step was interrupted
 	// and has waited for long.
 	hasLasting, interrupted bool
+	// fills says that a step of the job is filling.
+	fills bool
+	// assignedWork is the work of the job's assigned tasks when that was last measured: see measureWork.
+	assignedWork float64
 	// rank orders the job among those of the same priority.
 	rank cottonlanding.Rank
 	// placed says that a task of the job has been placed at least once, after which the job may no longer leave the
@@ -117,6 +121,8 @@
 	delegationCommitted bool
 	returnedBy          map[cottonlanding.CellNumber]cottonlanding.Millis
 	returnedAt          cottonlanding.Millis
+	// creditedPercent is the progress of the task that is counted as completed work.
+	creditedPercent int
 }
 
 func newJob(workflow cottonlanding.Workflow, queue cottonlanding.Queue, now cottonlanding.Millis) *job {
@@ -127,6 +133,7 @@
 		accepted:   now,
 		rounds:     make(map[int]*round),
 		hasLasting: slices.ContainsFunc(workflow.Steps, func(s cottonlanding.Step) bool { return s.Lasting }),
+		fills:      slices.ContainsFunc(workflow.Steps, func(s cottonlanding.Step) bool { return s.Fills }),
 	}
 	if workflow.Schedule.Rounds == 0 {
 		j.addRound(0, now)
@@ -217,8 +224,18 @@
 }
 
 // Submit accepts a workflow. done is called once the acceptance is committed or has failed. Submitting an accepted
-// workflow again is not an error.
+// workflow again is not an error. The error has a retry time if the workflow is rejected because of overload.
 func (c *Cell) Submit(workflow cottonlanding.Workflow, now cottonlanding.Millis, done func(error)) {
+	c.submit(workflow, false, now, done)
+}
+
+// SubmitHandedOver accepts a workflow that its home cell had accepted and then handed over to this cell. It isn't
+// rejected because of overload.
+func (c *Cell) SubmitHandedOver(workflow cottonlanding.Workflow, now cottonlanding.Millis, done func(error)) {
+	c.submit(workflow, true, now, done)
+}
+
+func (c *Cell) submit(workflow cottonlanding.Workflow, handedOver bool, now cottonlanding.Millis, done func(error)) {
 	if known := c.jobs[workflow.ID]; known != nil {
 		if known.isDelegatedHere() {
 			done(fmt.Errorf("cell %s keeps workflow %s: %w", known.delegatedBy, workflow.ID, cottonlanding.ErrUnavailable))
@@ -247,7 +264,14 @@
 	}
 	j := newJob(workflow, queue, now)
 	j.spec = spec
+	if !handedOver {
+		if err := c.admit(j, now); err != nil {
+			done(err)
+			return
+		}
+	}
 	c.addJob(j)
+	c.recordArrival(j, now)
 	c.markDirty(j)
 	c.counts.Accepted++
 	c.callbacks[j.ID] = append(c.callbacks[j.ID], done)
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -32,6 +32,7 @@
 	c.abandonOverdueStarts(now)
 	c.beginRounds(now, wall)
 	c.place(now)
+	c.measureOverload(now)
 	c.returnDelegatedTasks(now)
 	c.prune(now)
 	c.logDowntimes()
--- a/internal/workflow/planner/policy.go
+++ b/internal/workflow/planner/policy.go
@@ -19,6 +19,8 @@
 	Blame cottonlanding.BlamePolicy
 	// Delegation decides which cell runs a lasting task for which this one has no room; nil disables delegation.
 	Delegation cottonlanding.DelegationPolicy
+	// Overload decides which workflows are rejected under overload.
+	Overload cottonlanding.OverloadPolicy
 	// KeepsInOneDataCentre says that the tasks of a workflow that aren't lasting go to one data centre while that has
 	// room, rather than to any.
 	KeepsInOneDataCentre bool
--- a/internal/workflow/planner/poll.go
+++ b/internal/workflow/planner/poll.go
@@ -168,6 +168,7 @@
 			r = c.trackUnownedRun(w, update.RunKey, now)
 		}
 		r.update(update, now)
+		c.recordRunProgress(r)
 		c.markJobStarted(update.RunKey)
 		c.recordOutlasted(r)
 		c.endDowntimeOf(r, now)
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -95,6 +95,7 @@
 			member.checkpoint = knownCheckpoint{}
 			t.stage.done++
 			t.job.size.recordDone()
+			c.recordProgress(member, fullPercent)
 		}
 	}
 	j := t.job
--- a/policy.go
+++ b/policy.go
@@ -141,3 +141,43 @@
 type RankingPolicy interface {
 	Rank(view RankView) Rank
 }
+
+// OverloadView describes a submitted workflow that no cell knows yet, and when it could be done.
+type OverloadView struct {
+	// Now is the present instant, as in OverloadState.
+	Now Millis
+	// Forecast is the time from now until the workflow could be done, Objective the time in which it should be.
+	Forecast, Objective Millis
+	// Position is the fraction of the remaining work of its kind that ranks before the workflow.
+	Position float64
+	// Jitter is a number from 0 to 1 that depends only on the id of the workflow.
+	Jitter float64
+}
+
+// OverloadState is what an OverloadPolicy keeps for a queue from one submission to the next. Its zero value is that of
+// a queue without submissions. A zero instant means never.
+type OverloadState struct {
+	// Rejecting says that the queue rejects workflows.
+	Rejecting bool
+	// OverSince is since when forecasts have exceeded their limits, LastOverAt when one last did.
+	OverSince, LastOverAt Millis
+	// LastAcceptedAt is when a workflow was last accepted.
+	LastAcceptedAt Millis
+}
+
+// OverloadDecision is the decision about a submitted workflow.
+type OverloadDecision struct {
+	// Reject says that the workflow is not accepted.
+	Reject bool
+	// RetryAfter is when a rejected workflow should be submitted again, from now.
+	RetryAfter Millis
+	// Limit is what the forecast was compared with; zero if it was compared with nothing.
+	Limit Millis
+	// State is the new state of the queue.
+	State OverloadState
+}
+
+// OverloadPolicy decides which workflows are rejected because they couldn't be done while they are of use.
+type OverloadPolicy interface {
+	Decide(view OverloadView, state OverloadState) OverloadDecision
+}
