--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -104,6 +104,7 @@
 			member.checkpoint = knownCheckpoint{}
 			t.stage.done++
 			t.job.size.recordDone()
+			c.recordProgress(member, fullPercent)
 		}
 	}
 	c.recordStepTimes(t.stage, now)
