--- a/internal/policy/selector/selector.go
+++ b/internal/policy/selector/selector.go
@@ -66,6 +66,13 @@
 	"never":      func() bool { return false },
 }
 
+// shortReserveVariants are the variants of whether lasting tasks that never ran leave room to short ones: as much as these
+// needed at most in the last seconds, or none.
+var shortReserveVariants = cataloger.Catalog[bool]{
+	"recent": func() bool { return true },
+	"none":   func() bool { return false },
+}
+
 // tableSourceVariants are the variants of where hosts that own no cell read the operators' table.
 var tableSourceVariants = cataloger.Catalog[bool]{
 	"copy":  func() bool { return true },
@@ -79,16 +86,17 @@
 	s := &selection{names: names}
 	set := Set{
 		Planner: planner.Policy{
-			ShortPlacement:       choose(s, "ShortPlacement", placer.Catalog, "pack")(),
-			LastingPlacement:     choose(s, "LastingPlacement", placer.Catalog, "pack")(),
-			FillingPlacement:     choose(s, "FillingPlacement", placer.Catalog, "spread")(),
-			Disturbance:          choose(s, "Disturbance", weigher.Catalog, weigher.Fallback)(),
-			Mixing:               choose(s, "Mixing", mixer.Catalog, mixer.Fallback)(),
-			Ranking:              choose(s, "Ranking", ranker.Catalog, ranker.Fallback)(),
-			Blame:                choose(s, "Blame", blamer.Catalog, blamer.Fallback)(),
-			Delegation:           choose(s, "Delegation", delegator.Catalog, delegator.Fallback)(),
-			KeepsInOneDataCentre: choose(s, "Together", colocationVariants, "datacentre")(),
-			WatchesDataCentres:   choose(s, "Silence", timeoutScopeVariants, "place")(),
+			ShortPlacement:        choose(s, "ShortPlacement", placer.Catalog, "pack")(),
+			LastingPlacement:      choose(s, "LastingPlacement", placer.Catalog, "pack")(),
+			FillingPlacement:      choose(s, "FillingPlacement", placer.Catalog, "spread")(),
+			Disturbance:           choose(s, "Disturbance", weigher.Catalog, weigher.Fallback)(),
+			Mixing:                choose(s, "Mixing", mixer.Catalog, mixer.Fallback)(),
+			Ranking:               choose(s, "Ranking", ranker.Catalog, ranker.Fallback)(),
+			Blame:                 choose(s, "Blame", blamer.Catalog, blamer.Fallback)(),
+			Delegation:            choose(s, "Delegation", delegator.Catalog, delegator.Fallback)(),
+			KeepsInOneDataCentre:  choose(s, "Together", colocationVariants, "datacentre")(),
+			ReservesForShortTasks: choose(s, "ShortReserve", shortReserveVariants, "recent")(),
+			WatchesDataCentres:    choose(s, "Silence", timeoutScopeVariants, "place")(),
 		},
 		Referral:      choose(s, "Referral", referrer.Catalog, referrer.Fallback)(),
 		Reclaim:       choose(s, "TakeOver", takeOverVariants, "reclaim")(),
--- a/internal/workflow/planner/policy.go
+++ b/internal/workflow/planner/policy.go
@@ -22,6 +22,8 @@
 	// KeepsInOneDataCentre says that the tasks of a workflow that aren't lasting go to one data centre while that has
 	// room, rather than to any.
 	KeepsInOneDataCentre bool
+	// ReservesForShortTasks says that lasting tasks which never ran leave the room that short tasks need.
+	ReservesForShortTasks bool
 	// WatchesDataCentres says that nothing is started in a data centre whose workers fall silent together, rather than
 	// only on the workers that were found silent.
 	WatchesDataCentres bool
--- a/internal/workflow/planner/rejection.go
+++ b/internal/workflow/planner/rejection.go
@@ -47,7 +47,7 @@
 		return rejectedHeld
 	case c.blockedByIsolation(t, w, now):
 		return rejectedIsolated
-	case c.reservedForOthers(t, w, now):
+	case c.reservedForOthers(t, w, now), c.reservedForShortTasks(t, w, now):
 		return rejectedReserved
 	case t.stage.Fills && !c.acceptsFilling(t, w, now):
 		return rejectedDisturbing
