planner: reserve room by priority, count idle seconds, hold no workers for deferred tasks

Lasting tasks leave room only to short tasks that are no less urgent. Members of a lasting gang count together. Steps that fit on no worker or request no processors need no room. Seconds without short tasks count in the mean, so that the reserve decreases once demand ends. The line "use of workers" shows ReservedSlots.

--- a/internal/policy/selector/golden_test.go
+++ b/internal/policy/selector/golden_test.go
@@ -44,6 +44,7 @@
 		{"Delegation", "byroom", func(s selector.Set) any { return s.Planner.Delegation },
 			map[string]any{"byroom": delegator.ByRoom{}, "never": delegator.Never{}}},
 		{"Together", "datacentre", func(s selector.Set) any { return s.Planner.KeepsInOneDataCentre }, map[string]any{"datacentre": true, "never": false}},
+		{"ShortReserve", "recent", func(s selector.Set) any { return s.Planner.ReservesForShortTasks }, map[string]any{"recent": true, "none": false}},
 		{"Silence", "place", func(s selector.Set) any { return s.Planner.WatchesDataCentres }, map[string]any{"place": true, "worker": false}},
 		{"Referral", "byimage", func(s selector.Set) any { return s.Referral },
 			map[string]any{"byimage": referrer.ByImage{}, "byroom": referrer.ByRoom{}, "never": referrer.Never{}}},
--- a/internal/policy/selector/selector.go
+++ b/internal/policy/selector/selector.go
@@ -67,7 +67,7 @@
 }
 
 // shortReserveVariants are the variants of whether lasting tasks that never ran leave room to short ones: as much as these
-// needed at most in the last seconds, or none.
+// needed on average in the last seconds, or none.
 var shortReserveVariants = cataloger.Catalog[bool]{
 	"recent": func() bool { return true },
 	"none":   func() bool { return false },
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -117,8 +117,9 @@
 	bounds leaseBounds
 	// reserved is the capacity reserved for interrupted lasting tasks as of the last decision.
 	reserved reservations
-	// shortReserves holds what lasting tasks leave to the short tasks of each service, if the policy says so.
-	shortReserves map[cottonlanding.ServiceName]*shortReserve
+	// shortReserves holds what lasting tasks leave to the short tasks of each service and priority, if the policy says
+	// so.
+	shortReserves []*shortReserve
 	// superseded says that a worker has seen a newer owner.
 	superseded   bool
 	counts       Counts
@@ -197,7 +198,6 @@
 		unplannedReferrals: make(map[cottonlanding.WorkflowID][]func(error)),
 		interference:       newInterference(policy.Disturbance),
 		openLivesByWorker:  make(map[cottonlanding.WorkerID]*openLives),
-		shortReserves:      make(map[cottonlanding.ServiceName]*shortReserve),
 		counts:             Counts{Ends: make(map[cottonlanding.EndKind]int64)},
 	}
 }
--- a/internal/workflow/planner/gang.go
+++ b/internal/workflow/planner/gang.go
@@ -43,6 +43,9 @@
 		for i, w := range chosen {
 			w.removeRun(cottonlanding.RunKey{Task: s.tasks[i].ref})
 		}
+		if s.Lasting {
+			c.countFreeSlots(now) // the members' slots were deducted when they were chosen
+		}
 	}()
 	for _, t := range s.tasks {
 		w := c.pickInRack(t, rack, now)
@@ -50,6 +53,9 @@
 			return false
 		}
 		// A placeholder run without a number reserves the room, so that the next member finds what is left.
+		if s.Lasting {
+			c.takeSlots(t, w, now)
+		}
 		key := cottonlanding.RunKey{Task: t.ref}
 		w.addRun(&run{RunKey: key, worker: w, step: s.Step, paceGoal: fullPace})
 		chosen = append(chosen, w)
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -165,7 +165,7 @@
 	t.pinCheckpoint()
 	key := cottonlanding.RunKey{Task: t.ref, Number: number}
 	t.run = &run{RunKey: key, task: t, worker: w, life: w, born: t.life.Born, step: t.stage.Step, pace: fullPace, paceGoal: fullPace, placedAt: now, progressedAt: now}
-	c.recordPlacement(t, w, c.room(w, now).free)
+	c.recordPlacement(t, w, now)
 	w.addRun(t.run)
 	t.job.placed = true
 	if t.job.state == cottonlanding.WorkflowPending {
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -28,7 +28,7 @@
 // preemptFor stops runs of less urgent queues on the worker where the least work is lost, unless room is already
 // being made for the task.
 func (c *Cell) preemptFor(t *task, now cottonlanding.Millis) {
-	if now < t.preemptionUntil || t.stage.Fills {
+	if now < t.preemptionUntil || t.stage.Fills || c.yieldsToShortTasks(t, now) {
 		return
 	}
 	var best []*run
@@ -72,7 +72,7 @@
 // it, short tasks would take each bit of room before one worker has enough. It reports whether a worker is held. The
 // log line calls a hold a reservation; the room that reservation.go reserves follows another rule.
 func (c *Cell) holdWorker(t *task, now cottonlanding.Millis) bool {
-	if !t.waitsLong(now) || !c.hasTotalHeadroom(t, now) {
+	if !t.waitsLong(now) || c.yieldsToShortTasks(t, now) || !c.hasTotalHeadroom(t, now) {
 		return false
 	}
 	held := 0
--- a/internal/workflow/planner/rejection.go
+++ b/internal/workflow/planner/rejection.go
@@ -24,7 +24,7 @@
 	rejectedHeld
 	// rejectedIsolated separates tasks of which one may crash its worker.
 	rejectedIsolated
-	// rejectedReserved leaves the room to lasting tasks that ran before.
+	// rejectedReserved leaves the room to lasting tasks that ran before, or to short ones.
 	rejectedReserved
 	// rejectedDisturbing means that a filling task would disturb serving ones.
 	rejectedDisturbing
--- a/internal/workflow/planner/summary.go
+++ b/internal/workflow/planner/summary.go
@@ -38,7 +38,7 @@
 	short, lasting, filling := s.kinds[shortTask], s.kinds[lastingTask], s.kinds[fillingTask]
 	c.log.Info("use of workers", "Usable", s.usable, "Workers", len(c.workers), "CPU", int64(s.capacity),
 		"FreeCPU", int64(s.free.CPU), "FreeMemory", s.free.Memory.String(), "SpareCPU", int64(s.spare), "MixedImages", s.mixed,
-		"ShortRuns", short.runs, "ShortCPU", int64(short.cpu), "ShortWaiting", short.waiting,
+		"ShortRuns", short.runs, "ShortCPU", int64(short.cpu), "ShortWaiting", short.waiting, "ReservedSlots", c.reservedSlots(),
 		"LastingRuns", lasting.runs, "LastingCPU", int64(lasting.cpu), "LastingWaiting", lasting.waiting,
 		"FillingRuns", filling.runs, "FillingCPU", int64(filling.cpu), "FillingUsed", int64(filling.used),
 		"FillingPaused", filling.paused, "FillingWaiting", filling.waiting)
--- a/internal/workflow/reserver/reserver.go
+++ b/internal/workflow/reserver/reserver.go
@@ -9,26 +9,30 @@
 import "github.com/cottonlanding/cottonlanding"
 
 const (
-	// span is how long a peak of the demand is remembered: short workflows arrive in bursts that are some
-	// seconds apart.
+	// span is the time over which the demand is averaged: short workflows arrive in bursts that are some
+	// seconds apart. Its largest value in place of the mean costs lasting tasks a third more room and gains
+	// nothing.
 	span = 10 * cottonlanding.Second
-	// buckets is the number of parts in which the span is remembered.
-	buckets = 10
-	// sizeWeight is the weight of the newest task in the mean size.
-	sizeWeight = 0.02
+	// buckets is the number of parts of the span.
+	buckets    = 10
+	bucketSpan = span / buckets
+	// newestSizeWeight is the weight of the newest task in the mean size once many are known.
+	newestSizeWeight = 0.02
 )
 
 // Demand is the recent demand of short tasks for room.
 type Demand struct {
-	// peaks holds the largest number of tasks that ran or waited in each part of the span.
-	peaks [buckets]peak
-	// cpu and memory are the mean size of a task.
+	buckets [buckets]bucket
+	// cpu and memory are the mean size of a task, sizes is the number of tasks that it was formed of.
 	cpu, memory float64
+	sizes       int
 }
 
-type peak struct {
-	index int64
-	tasks int
+// bucket holds the largest number of tasks that ran or waited at once in one part of the span.
+type bucket struct {
+	number   int64
+	observed bool
+	tasks    int
 }
 
 // New returns a demand of nothing.
@@ -36,43 +40,48 @@
 
 // Observe records how many short tasks run or wait for room.
 func (d *Demand) Observe(tasks int, now cottonlanding.Millis) {
-	index := int64(now / (span / buckets))
-	slot := &d.peaks[index%buckets]
-	if slot.index != index {
-		*slot = peak{index: index}
+	number := int64(now / bucketSpan)
+	b := &d.buckets[number%buckets]
+	if b.number != number || !b.observed {
+		*b = bucket{number: number, observed: true}
 	}
-	slot.tasks = max(slot.tasks, tasks)
+	b.tasks = max(b.tasks, tasks)
 }
 
-// RecordSize records the resources of a task that is placed.
+// RecordSize adds a task to the mean size. Tasks that request no processors are ignored: they need no slot.
 func (d *Demand) RecordSize(size cottonlanding.Resources) {
-	if d.cpu == 0 {
-		d.cpu, d.memory = float64(size.CPU), float64(size.Memory)
+	if size.CPU <= 0 {
+		return
 	}
-	d.cpu += sizeWeight * (float64(size.CPU) - d.cpu)
-	d.memory += sizeWeight * (float64(size.Memory) - d.memory)
+	d.sizes++
+	weight := max(newestSizeWeight, 1/float64(d.sizes))
+	d.cpu += weight * (float64(size.CPU) - d.cpu)
+	d.memory += weight * (float64(max(size.Memory, 0)) - d.memory)
 }
 
-// Slots returns how many tasks of the mean size fit into a room; zero if no size is known.
-func (d *Demand) Slots(room cottonlanding.Resources) int {
-	if d.cpu <= 0 {
+// HasSize reports whether the size of a task is known.
+func (d *Demand) HasSize() bool { return d.sizes > 0 }
+
+// Slots returns how many tasks of the mean size fit into the free room of one worker; zero if no size is known.
+func (d *Demand) Slots(free cottonlanding.Resources) int {
+	if !d.HasSize() {
 		return 0
 	}
-	slots := float64(room.CPU) / d.cpu
+	slots := float64(free.CPU) / d.cpu
 	if d.memory > 0 {
-		slots = min(slots, float64(room.Memory)/d.memory)
+		slots = min(slots, float64(free.Memory)/d.memory)
 	}
 	return max(0, int(slots))
 }
 
-// Needed returns how many slots short tasks need beside those that are running, going by the peak of the span.
+// Needed returns how many slots short tasks need beside those that are running, going by the mean of the span.
 func (d *Demand) Needed(running int, now cottonlanding.Millis) int {
-	current, sum, n := int64(now/(span/buckets)), 0, 0
-	for _, p := range d.peaks {
-		if p.tasks > 0 && current-p.index < buckets {
-			sum += p.tasks
-			n++
+	current, sum, observed := int64(now/bucketSpan), 0, 0
+	for _, b := range d.buckets {
+		if b.observed && current-b.number < buckets {
+			sum += b.tasks
+			observed++
 		}
 	}
-	return max(0, sum/max(n,1)-running)
+	return max(0, sum/max(observed, 1)-running)
 }
