planner: test the room for short tasks

The current second counts in the mean only where it raises it: an owner that decided before the burst of a second gave its room away. Workers are held only for tasks that leave enough slots.

--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -37,7 +37,7 @@
 		if !t.stage.Reserved().Fits(c.room(w, now).withPreemption(t.job.queue.Priority)) {
 			continue // computing the victims on all workers would take most of an owner's time
 		}
-		if !c.allowed(t, w, now) || w.health.shouldAvoid(now) || c.reservedForOthers(t, w, now) {
+		if !c.allowed(t, w, now) || w.health.shouldAvoid(now) || c.reservedForOthers(t, w, now) || c.reservedForShortTasks(t, w, now) {
 			continue
 		}
 		victims, lostWork := c.victims(t, w, now)
@@ -85,7 +85,8 @@
 			held++
 			continue
 		}
-		possible := c.allowed(t, w, now) && t.stage.Reserved().Fits(w.roomBesideLasting()) && !c.reservedForOthers(t, w, now)
+		room := w.roomBesideLasting()
+		possible := c.allowed(t, w, now) && t.stage.Reserved().Fits(room) && !c.reservedForOthers(t, w, now) && !c.takesReservedSlots(t, room, now)
 		if possible && (best == nil || c.room(w, now).free.CPU > c.room(best, now).free.CPU) {
 			best = w
 		}
--- a/internal/workflow/planner/shortreserve.go
+++ b/internal/workflow/planner/shortreserve.go
@@ -131,18 +131,23 @@
 // reservedForShortTasks reports whether a task would take room on a worker that short tasks need. Where the worker is
 // held for the task, nobody else could use the room.
 func (c *Cell) reservedForShortTasks(t *task, w *worker, now cottonlanding.Millis) bool {
-	if len(c.shortReserves) == 0 || !t.neverRan() {
+	if len(c.shortReserves) == 0 || !t.neverRan() || w.heldFor == t && w.held(now) {
 		return false
 	}
-	free := c.room(w, now).free
-	reserved := slices.ContainsFunc(c.shortReserves, func(r *shortReserve) bool {
+	return c.takesReservedSlots(t, c.room(w, now).free, now)
+}
+
+// takesReservedSlots reports whether a lasting task that never ran would take slots that short tasks need if it were
+// placed on a worker with the given room.
+func (c *Cell) takesReservedSlots(t *task, room cottonlanding.Resources, now cottonlanding.Millis) bool {
+	reserved := t.neverRan() && slices.ContainsFunc(c.shortReserves, func(r *shortReserve) bool {
 		if !r.protectsFrom(t) {
 			return false
 		}
-		taken := r.slotsTaken(t, free)
+		taken := r.slotsTaken(t, room)
 		return taken > 0 && r.free-taken < r.needed
 	})
-	return reserved && !t.awaitsFirstRun(now) && !(w.heldFor == t && w.held(now))
+	return reserved && !t.awaitsFirstRun(now)
 }
 
 // yieldsToShortTasks reports whether short tasks lack room, so that none is to be made for a lasting task that never
--- a/internal/workflow/reserver/reserver.go
+++ b/internal/workflow/reserver/reserver.go
@@ -74,14 +74,23 @@
 	return max(0, int(slots))
 }
 
-// Needed returns how many slots short tasks need beside those that are running, going by the mean of the span.
+// Needed returns how many slots short tasks need beside those that are running, going by the mean of the span. The
+// current part of the span counts only where it raises the mean: its burst may be still to come.
 func (d *Demand) Needed(running int, now cottonlanding.Millis) int {
-	current, sum, observed := int64(now/bucketSpan), 0, 0
+	current, latest, sum, count := int64(now/bucketSpan), 0, 0, 0
 	for _, b := range d.buckets {
-		if b.observed && current-b.number < buckets {
+		switch {
+		case !b.observed || current-b.number >= buckets:
+		case b.number == current:
+			latest = b.tasks
+		default:
 			sum += b.tasks
-			observed++
+			count++
 		}
 	}
-	return max(0, sum/max(observed, 1)-running)
+	if latest*count >= sum {
+		sum += latest
+		count++
+	}
+	return max(0, sum/count-running)
 }
