--- a/internal/policy/selector/golden_test.go
+++ b/internal/policy/selector/golden_test.go
@@ -50,6 +50,7 @@
 		{"Overload", "accept", func(s selector.Set) any { return s.Planner.Overload },
 			map[string]any{"accept": admitter.Accept{}, "reject": admitter.Reject{}}},
 		{"Together", "datacentre", func(s selector.Set) any { return s.Planner.KeepsInOneDataCentre }, map[string]any{"datacentre": true, "never": false}},
+		{"ShortReserve", "none", func(s selector.Set) any { return s.Planner.ReservesForShortTasks }, map[string]any{"recent": true, "none": false}},
 		{"Silence", "place", func(s selector.Set) any { return s.Planner.WatchesDataCentres }, map[string]any{"place": true, "worker": false}},
 		{"RunTimes", "declared", func(s selector.Set) any { return s.Planner.LearnsRunTimes }, map[string]any{"declared": false, "learnt": true}},
 		{"Forecast", "linear", func(s selector.Set) any { return s.Planner.ForecastsSeasons }, map[string]any{"seasonal": true, "linear": false}},
--- a/internal/policy/selector/selector.go
+++ b/internal/policy/selector/selector.go
@@ -82,6 +82,13 @@
 	"learnt":   func() bool { return true },
 }
 
+// shortReserveVariants are the variants of whether lasting tasks that never ran leave room to short
+// ones: as much as these needed on average in the last seconds, or none.
+var shortReserveVariants = cataloger.Catalog[bool]{
+	"recent": func() bool { return true },
+	"none":   func() bool { return false },
+}
+
 // tableSourceVariants are the variants of where hosts that own no cell read the operators' table.
 var tableSourceVariants = cataloger.Catalog[bool]{
 	"copy":  func() bool { return true },
@@ -96,27 +103,29 @@
 
 // New returns the policies with the given names. The error reports all unknown names. The decision
 // Together sets KeepsInOneDataCentre, Silence sets WatchesDataCentres, RunTimes sets LearnsRunTimes,
-// Forecast sets ForecastsSeasons, CommitOrder sets CommitsCallersFirst, TakeOver sets Reclaim and News
+// Forecast sets ForecastsSeasons, CommitOrder sets CommitsCallersFirst, ShortReserve sets
+// ReservesForShortTasks, TakeOver sets Reclaim and News
 // sets UsesTableCopy.
 func New(names Names) (Set, error) {
 	s := &selection{names: names}
 	set := Set{
 		Planner: planner.Policy{
-			ShortPlacement:       choose(s, "ShortPlacement", placer.Catalog, "pack")(),
-			LastingPlacement:     choose(s, "LastingPlacement", placer.Catalog, "pack")(),
-			FillingPlacement:     choose(s, "FillingPlacement", placer.Catalog, "spread")(),
-			Disturbance:          choose(s, "Disturbance", weigher.Catalog, weigher.Fallback)(),
-			Headroom:             choose(s, "Headroom", throttler.Catalog, throttler.Fallback)(),
-			Mixing:               choose(s, "Mixing", mixer.Catalog, mixer.Fallback)(),
-			Ranking:              choose(s, "Ranking", ranker.Catalog, ranker.Fallback)(),
-			Blame:                choose(s, "Blame", blamer.Catalog, blamer.Fallback)(),
-			Delegation:           choose(s, "Delegation", delegator.Catalog, delegator.Fallback)(),
-			Overload:             choose(s, "Overload", admitter.Catalog, admitter.Fallback)(),
-			KeepsInOneDataCentre: choose(s, "Together", colocationVariants, "datacentre")(),
-			WatchesDataCentres:   choose(s, "Silence", timeoutScopeVariants, "place")(),
-			LearnsRunTimes:       choose(s, "RunTimes", runTimeVariants, "declared")(),
-			ForecastsSeasons:     choose(s, "Forecast", forecastVariants, "linear")(),
-			CommitsCallersFirst:  choose(s, "CommitOrder", commitOrderVariants, "acceptance")(),
+			ShortPlacement:        choose(s, "ShortPlacement", placer.Catalog, "pack")(),
+			LastingPlacement:      choose(s, "LastingPlacement", placer.Catalog, "pack")(),
+			FillingPlacement:      choose(s, "FillingPlacement", placer.Catalog, "spread")(),
+			Disturbance:           choose(s, "Disturbance", weigher.Catalog, weigher.Fallback)(),
+			Headroom:              choose(s, "Headroom", throttler.Catalog, throttler.Fallback)(),
+			Mixing:                choose(s, "Mixing", mixer.Catalog, mixer.Fallback)(),
+			Ranking:               choose(s, "Ranking", ranker.Catalog, ranker.Fallback)(),
+			Blame:                 choose(s, "Blame", blamer.Catalog, blamer.Fallback)(),
+			Delegation:            choose(s, "Delegation", delegator.Catalog, delegator.Fallback)(),
+			Overload:              choose(s, "Overload", admitter.Catalog, admitter.Fallback)(),
+			KeepsInOneDataCentre:  choose(s, "Together", colocationVariants, "datacentre")(),
+			ReservesForShortTasks: choose(s, "ShortReserve", shortReserveVariants, "none")(),
+			WatchesDataCentres:    choose(s, "Silence", timeoutScopeVariants, "place")(),
+			LearnsRunTimes:        choose(s, "RunTimes", runTimeVariants, "declared")(),
+			ForecastsSeasons:      choose(s, "Forecast", forecastVariants, "linear")(),
+			CommitsCallersFirst:   choose(s, "CommitOrder", commitOrderVariants, "acceptance")(),
 		},
 		Referral:      choose(s, "Referral", referrer.Catalog, referrer.Fallback)(),
 		Reclaim:       choose(s, "TakeOver", takeOverVariants, "reclaim")(),
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -129,6 +129,9 @@
 	bounds leaseBounds
 	// reserved is the capacity reserved for interrupted lasting tasks as of the last decision.
 	reserved reservations
+	// shortReserves holds what lasting tasks leave to the short tasks of each service and priority, if the policy says
+	// so.
+	shortReserves []*shortReserve
 	// superseded says that a worker has seen a newer owner.
 	superseded   bool
 	counts       Counts
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -77,6 +77,7 @@
 	placed := 0
 	var failures placementFailures
 	c.computeReservations(now)
+	c.computeShortReserves(now)
 	for _, s := range c.waitingStages(now) {
 		if placed >= maxPlacements {
 			return
@@ -168,6 +169,7 @@
 	key := cottonlanding.RunKey{Task: t.ref, Number: number}
 	t.run = &run{RunKey: key, task: t, worker: w, life: w, born: t.life.Born, step: t.stage.Step,
 		pace: fullPace, paceGoal: c.initialPace(w, t.stage, now), placedAt: now, progressedAt: now}
+	c.recordPlacement(t, w, now)
 	w.addRun(t.run)
 	t.job.placed = true
 	if t.job.state == cottonlanding.WorkflowPending {
--- a/internal/workflow/planner/preempt.go
+++ b/internal/workflow/planner/preempt.go
@@ -28,7 +28,7 @@
 // preemptFor stops runs of less urgent queues on the worker where the least work is lost, unless room is already
 // being made for the task.
 func (c *Cell) preemptFor(t *task, now cottonlanding.Millis) {
-	if now < t.preemptionUntil || t.stage.Fills {
+	if now < t.preemptionUntil || t.stage.Fills || c.yieldsToShortTasks(t, now) {
 		return
 	}
 	var best []*run
@@ -37,7 +37,7 @@
 		if !t.stage.Reserved().Fits(c.room(w, now).withPreemption(t.job.queue.Priority)) {
 			continue // computing the victims on all workers would take most of an owner's time
 		}
-		if !c.allowed(t, w, now) || w.health.shouldAvoid(now) || c.reservedForOthers(t, w, now) {
+		if !c.allowed(t, w, now) || w.health.shouldAvoid(now) || c.reservedForOthers(t, w, now) || c.reservedForShortTasks(t, w, now) {
 			continue
 		}
 		victims, lostWork := c.victims(t, w, now)
@@ -72,7 +72,7 @@
 // it, short tasks would take each bit of room before one worker has enough. It reports whether a worker is held. The
 // log line calls a hold a reservation; the room that reservation.go reserves follows another rule.
 func (c *Cell) holdWorker(t *task, now cottonlanding.Millis) bool {
-	if !t.waitsLong(now) || !c.hasTotalHeadroom(t, now) {
+	if !t.waitsLong(now) || c.yieldsToShortTasks(t, now) || !c.hasTotalHeadroom(t, now) {
 		return false
 	}
 	held := 0
@@ -85,7 +85,8 @@
 			held++
 			continue
 		}
-		possible := c.allowed(t, w, now) && t.stage.Reserved().Fits(w.roomBesideLasting()) && !c.reservedForOthers(t, w, now)
+		room := w.roomBesideLasting()
+		possible := c.allowed(t, w, now) && t.stage.Reserved().Fits(room) && !c.reservedForOthers(t, w, now) && !c.takesReservedSlots(t, room, now)
 		if possible && (best == nil || c.room(w, now).free.CPU > c.room(best, now).free.CPU) {
 			best = w
 		}
--- a/internal/workflow/planner/rejection.go
+++ b/internal/workflow/planner/rejection.go
@@ -24,7 +24,7 @@
 	rejectedHeld
 	// rejectedIsolated separates tasks of which one may crash its worker.
 	rejectedIsolated
-	// rejectedReserved leaves the room to lasting tasks that ran before.
+	// rejectedReserved leaves the room to lasting tasks that ran before, or to short ones.
 	rejectedReserved
 	// rejectedDisturbing means that a filling task would disturb serving ones.
 	rejectedDisturbing
@@ -49,7 +49,7 @@
 		return rejectedHeld
 	case c.blockedByIsolation(t, w, now):
 		return rejectedIsolated
-	case c.reservedForOthers(t, w, now):
+	case c.reservedForOthers(t, w, now), c.reservedForShortTasks(t, w, now):
 		return rejectedReserved
 	case t.stage.Fills && !c.acceptsFilling(t, w, now):
 		return rejectedDisturbing
