--- a/internal/workflow/planner/interference.go
+++ b/internal/workflow/planner/interference.go
@@ -40,8 +40,6 @@
 	// assumedMinTailFraction is the fraction of its latency target that an idle task's tail latency is assumed to be
 	// until one was measured.
 	assumedMinTailFraction = 0.25
-	// maxUtilization bounds forecasts of the utilization; a long tail shows only that it is too high.
-	maxUtilization = 0.99
 )
 
 // interference is the model of how images interfere with each other.
