--- a/bench/ablate.sh
+++ b/bench/ablate.sh
@@ -12,7 +12,8 @@
 shift 3
 variants=("$@")
 if [ ${#variants[@]} = 0 ]; then
-  variants=(ShortPlacement=spread LastingPlacement=spread Disturbance=cautious Mixing=anywhere TakeOver=silence News=table)
+  variants=(ShortPlacement=spread LastingPlacement=spread Disturbance=cautious Mixing=anywhere TakeOver=silence News=table
+    Forecast=linear Headroom=fraction RunTimes=declared Overload=accept ShortReserve=none CommitOrder=acceptance)
 fi
 root=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 work=${WORK:-$(mktemp -d)}
--- a/internal/workflow/planner/interference.go
+++ b/internal/workflow/planner/interference.go
@@ -102,7 +102,7 @@
 	return added, variance
 }
 
-// utilization returns the utilization that a tail latency implies, between 0 and maxUtilization.
+// utilization returns the utilization that a tail latency implies, from 0 to 0.99.
 func (m *interference) utilization(r *run, tail cottonlanding.Millis) float64 {
 	return throttler.UtilizationAt(tail, m.minTailOf(r))
 }
