planner: short tasks delay first runs of lasting ones by seven seconds at most

Without a bound, sustained demand of short tasks kept a lasting task of a workflow that has another run from starting.

--- a/internal/workflow/planner/shortreserve.go
+++ b/internal/workflow/planner/shortreserve.go
@@ -159,9 +159,11 @@
 	return lacking && !t.awaitsFirstRun(now)
 }
 
-// awaitsFirstRun reports whether the workflow of a lasting task has waited for its first run for as long as it may.
+// awaitsFirstRun reports whether a lasting task has waited for its first run for as long as it may: for firstRunDeferral
+// if its workflow has no run, and for maxDeferral, so that sustained demand of short tasks doesn't starve it, if it has.
 func (t *task) awaitsFirstRun(now cottonlanding.Millis) bool {
-	return now-t.waitingSince >= firstRunDeferral && !t.job.anyRun()
+	waited := now - t.waitingSince
+	return waited >= maxDeferral || waited >= firstRunDeferral && !t.job.anyRun()
 }
 
 // recordPlacement updates the reserves by a task that is about to be placed on a worker.
--- a/internal/workflow/planner/shortreserve_test.go
+++ b/internal/workflow/planner/shortreserve_test.go
@@ -132,6 +132,19 @@
 	}
 }
 
+// TestShortTasksDoNotStarveLastingOnes guards against a lasting task that never starts because short tasks need the room
+// all the time: it waits for seven seconds at most.
+func TestShortTasksDoNotStarveLastingOnes(t *testing.T) {
+	w := fullWorld(t, "recent", 10)
+	w.playShort("Urgent", 3)
+	w.addWorker()
+	w.relist()
+	w.playShort("Urgent", 2)
+	require.Equal(t, 9, w.runner.Lasting(), "its room is reserved at first")
+	w.playShort("Urgent", 3)
+	require.Equal(t, 10, w.runner.Lasting())
+}
+
 // TestInterruptedTasksIgnoreShortReserve guards against a lasting task that ran before and is held back, itself or
 // behind one of its step that never ran.
 func TestInterruptedTasksIgnoreShortReserve(t *testing.T) {
