planner: search for workers for filling tasks every 60 ms while some find none

Spans for which budgets must last are rounded up to two seconds, so that one failed search covers more tasks. The order of the steps stays.

--- a/internal/policy/throttler/spread.go
+++ b/internal/policy/throttler/spread.go
@@ -13,6 +13,9 @@
 	// missing or absurd; filling tasks take 1 to 6 s.
 	minPlacementSpan = cottonlanding.Second
 	maxPlacementSpan = 6 * cottonlanding.Second
+	// placementSpanStep is what spans are rounded up to multiples of, so that one failed search for a worker covers
+	// other tasks of about the same run time.
+	placementSpanStep = 2 * cottonlanding.Second
 )
 
 // Spread keeps serving tasks as far below their latency targets as their samples scatter. Tasks of heavy pairs start
@@ -33,7 +36,8 @@
 
 // PlacementSpan implements cottonlanding.HeadroomPolicy.
 func (Spread) PlacementSpan(expected cottonlanding.Millis) cottonlanding.Millis {
-	return min(max(expected, minPlacementSpan), maxPlacementSpan)
+	span := min(max(expected, minPlacementSpan), maxPlacementSpan)
+	return (span + placementSpanStep - 1) / placementSpanStep * placementSpanStep
 }
 
 // PlacementWeight implements cottonlanding.HeadroomPolicy.
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -96,6 +96,8 @@
 	report     Report
 	reportable bool
 	reportedAt cottonlanding.Millis
+	// nextFillingPass is the earliest time of the next search for workers for filling steps.
+	nextFillingPass cottonlanding.Millis
 	// plans counts the plans made.
 	plans        int64
 	interference *interference
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -18,6 +18,10 @@
 	starvationTimeout = 1500 * cottonlanding.Millis(1)
 	// makeRoomRetryInterval is the time between two attempts to make room for a step.
 	makeRoomRetryInterval = 100 * cottonlanding.Millis(1)
+	// fillingPassInterval is the time between two searches for filling steps while some find no worker. Their budgets
+	// change with samples, every half second. With thousands of tasks waiting, a search in every decision took most of
+	// an owner's processor time.
+	fillingPassInterval = 60 * cottonlanding.Millis(1)
 	// maxPlacements bounds the placements of one Decide call, which keeps its transaction small.
 	maxPlacements = 400
 )
@@ -78,10 +82,14 @@
 	var failures placementFailures
 	c.computeReservations(now)
 	c.computeShortReserves(now)
+	fillingDue := now >= c.nextFillingPass
 	for _, s := range c.waitingStages(now) {
 		if placed >= maxPlacements {
 			return
 		}
+		if s.Fills && !fillingDue {
+			continue
+		}
 		if s.Gang {
 			placed += c.placeGang(s, now)
 			continue
@@ -106,6 +114,7 @@
 			continue // others may fit despite the isolation or the reservation
 		}
 		if w == nil {
+			c.deferFillingPass(s, now)
 			c.handleNoRoom(t, now)
 			return placed // the other tasks of the step need the same resources
 		}
@@ -119,6 +128,14 @@
 	return placed
 }
 
+// deferFillingPass has the next search for filling steps wait if one has found no worker. All of them wait together, so
+// that they keep their order.
+func (c *Cell) deferFillingPass(s *stage, now cottonlanding.Millis) {
+	if s.Fills && c.policy.Headroom.LimitsStarts() {
+		c.nextFillingPass = now + fillingPassInterval
+	}
+}
+
 // placementOrder returns the tasks of a step in the order in which they are placed.
 func (s *stage) placementOrder(now cottonlanding.Millis) []*task {
 	if !s.Lasting {
