--- a/internal/policy/throttler/spread.go
+++ b/internal/policy/throttler/spread.go
@@ -10,9 +10,10 @@
 	// measured loads. The rest of a deviation is gone by the next sample.
 	sampleCorrelation = 0.55
 	// minPlacementSpan and maxPlacementSpan bound the time for which a budget must last. Estimates of clients may be
-	// missing or absurd; filling tasks take 1 to 6 s.
+	// missing or absurd. Longer spans than two fifths of a wave of 10 s keep tasks of several seconds, and with them
+	// large workflows, from starting at all.
 	minPlacementSpan = cottonlanding.Second
-	maxPlacementSpan = 6 * cottonlanding.Second
+	maxPlacementSpan = 4 * cottonlanding.Second
 	// placementSpanStep is what spans are rounded up to multiples of, so that one failed search for a worker covers
 	// other tasks of about the same run time.
 	placementSpanStep = 2 * cottonlanding.Second
