--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -178,16 +178,6 @@
 	<-p.done
 }
 
-// ended reports whether the process has ended.
-func (p *process) ended() bool {
-	select {
-	case <-p.done:
-		return true
-	default:
-		return false
-	}
-}
-
 // hostAddress returns an address of a host.
 func (d *deployment) hostAddress(host int, port string) string {
 	return fmt.Sprintf("%s.%d:%s", d.network, host+1, port)
--- a/review/stand/executor.go
+++ b/review/stand/executor.go
@@ -42,8 +42,6 @@
 	task    string
 	number  uint64
 	work    work
-	cpu     int
-	memory  int
 	came    time.Time
 	began   time.Time // zero while its gang isn't complete
 	grey    bool
