--- a/review/stand/deployment.go
+++ b/review/stand/deployment.go
@@ -144,6 +144,7 @@
 		d.note("what the executors did (Unix milliseconds, executor, what):")
 		_, _ = d.record.WriteString(strings.Join(lines, "\n") + "\n")
 	}
+	// KEEP names a folder to which the logs of all processes are copied.
 	if keep := os.Getenv("KEEP"); keep != "" {
 		_ = os.CopyFS(keep, os.DirFS(d.folder))
 	}
