--- a/review/stand/lasting.go
+++ b/review/stand/lasting.go
@@ -17,11 +17,11 @@
 const maxDown = 9 * time.Second
 
 // playLasting loses the executor of two lasting tasks for good, without a word, and kills the host that gives the orders
-// 1.2 s later. The host is started again at once.
+// a second later. The host is started again at once.
 func playLasting(d *deployment) error {
 	const (
 		id       = "5c0e7a21d94b36f8"
-		killedIn = 1200 * time.Millisecond
+		killedIn = time.Second
 		backIn   = 500 * time.Millisecond
 		watching = 24 * time.Second
 	)
