planner: a gang fails once a run, however many of its members do

What callers saw: an accepted gang of four with two attempts began once, on an executor that failed all it started, and showed as failed at once (LOST); it was never started on the eleven sound ones.

Cause: each end "failed" of a member raised that member's count and was copied to all members, so the next member's end of the same run counted as a further attempt of the gang. A gang of n members that fails together used up n attempts in one run. By the workflow's log line: "failed too often" after 0.2 s, with four ends of run 1; the reason now tells the number of failed runs.

Now a member's failures are those of its gang when its run was placed, and one more if it failed in that run. The gang's failures are the most of any member, and all are level again when the next run is placed. So a second end of the same run changes nothing, in one answer or several, and the row that is stored in between tells the next owner which members have counted: no new field. An owner of older code reads such a row and copies the most to all, as it always did. From a row of older code no member takes over more failures than it has ended runs.

Related paths: - An end that is late, after its run was given up or the next has begun, finds no run and doesn't count, as before: its lease had run out.

--- a/internal/stand/runner/notes.go
+++ b/internal/stand/runner/notes.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"github.com/cottonlanding/cottonlanding"
 )
@@ -15,6 +16,48 @@
 	began map[cottonlanding.TaskRef]cottonlanding.Millis
 }
 
+// failures holds the runs of each task that ended as failed.
+type failures struct {
+	ended, noted map[cottonlanding.TaskRef]map[cottonlanding.RunNumber]bool
+}
+
+func newFailures() failures {
+	return failures{
+		ended: make(map[cottonlanding.TaskRef]map[cottonlanding.RunNumber]bool),
+		noted: make(map[cottonlanding.TaskRef]map[cottonlanding.RunNumber]bool),
+	}
+}
+
+func addRun(runs map[cottonlanding.TaskRef]map[cottonlanding.RunNumber]bool, key cottonlanding.RunKey) {
+	if runs[key.Task] == nil {
+		runs[key.Task] = make(map[cottonlanding.RunNumber]bool)
+	}
+	runs[key.Task][key.Number] = true
+}
+
+// countRuns counts the runs of some tasks, those of the same number once.
+func countRuns(runs map[cottonlanding.TaskRef]map[cottonlanding.RunNumber]bool, tasks []cottonlanding.TaskRef) int {
+	numbers := make(map[cottonlanding.RunNumber]bool)
+	for _, task := range tasks {
+		maps.Copy(numbers, runs[task])
+	}
+	return len(numbers)
+}
+
+// FailedRuns counts the runs in which any of the tasks, such as the members of a gang, ended as failed.
+func (r *Runner) FailedRuns(tasks ...cottonlanding.TaskRef) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return countRuns(r.failures.ended, tasks)
+}
+
+// NotedFailedRuns is FailedRuns for the ends of which an owner has taken note.
+func (r *Runner) NotedFailedRuns(tasks ...cottonlanding.TaskRef) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return countRuns(r.failures.noted, tasks)
+}
+
 // endedRun is an end with when it came.
 type endedRun struct {
 	cottonlanding.RunEnd
@@ -49,7 +92,13 @@
 
 // recordTaken notes that an owner has taken note of an end.
 func (r *Runner) recordTaken(w *worker, end endedRun) {
-	if end.Kind != cottonlanding.EndDone || w.lapsedAt > end.at {
+	if w.lapsedAt > end.at {
+		return
+	}
+	if end.Kind == cottonlanding.EndFailed {
+		addRun(r.failures.noted, end.RunKey)
+	}
+	if end.Kind != cottonlanding.EndDone {
 		return
 	}
 	r.notes.done[end.Task] = describeEnd(w, end)
--- a/internal/stand/runner/runner.go
+++ b/internal/stand/runner/runner.go
@@ -37,8 +37,9 @@
 	// endsUnder counts for each task the lives that ended while they ran it.
 	endsUnder map[cottonlanding.TaskRef]int
 	// endedAt is when the last run of each task ended.
-	endedAt map[cottonlanding.TaskRef]cottonlanding.Millis
-	notes   notes
+	endedAt  map[cottonlanding.TaskRef]cottonlanding.Millis
+	notes    notes
+	failures failures
 
 	checkpoints checkpoints
 	// longestLease cuts the leases that workers take, unless it is zero.
@@ -75,7 +76,8 @@
 		endsUnder: make(map[cottonlanding.TaskRef]int),
 		endedAt:   make(map[cottonlanding.TaskRef]cottonlanding.Millis),
 
-		notes: newNotes(),
+		notes:    newNotes(),
+		failures: newFailures(),
 
 		checkpoints: newCheckpoints(),
 	}
@@ -243,6 +245,9 @@
 	}
 	text := r.checkpointOf(key, w.runs[key], worked, kind == cottonlanding.EndStopped)
 	r.recordEndedAt(key.Task, worked)
+	if kind == cottonlanding.EndFailed {
+		addRun(r.failures.ended, key)
+	}
 	delete(w.runs, key)
 	w.serial++
 	w.ruled[key.Task] = max(w.ruled[key.Task], key.Number)
--- a/internal/workflow/planner/gang.go
+++ b/internal/workflow/planner/gang.go
@@ -64,6 +64,7 @@
 		c.logRowFull(s.tasks[0], now)
 		return false
 	}
+	s.levelFailures()
 	for i, t := range s.tasks {
 		chosen[i].removeRun(cottonlanding.RunKey{Task: t.ref}) // the placeholder, which assign replaces
 		c.assign(t, chosen[i], number, now)
@@ -94,3 +95,40 @@
 	}
 	return sum
 }
+
+// A gang fails once a run, however many of its members do. A member's failures are those of the gang when its run was placed, and
+// one more if it failed in that run. So the row that is stored between the ends of two members says which of them have counted.
+
+// failedRuns returns the number of runs in which the task or, in a gang, any member has failed.
+func (t *task) failedRuns() int {
+	if !t.stage.Gang {
+		return t.failures
+	}
+	failed := 0
+	for _, member := range t.stage.tasks {
+		failed = max(failed, member.failures)
+	}
+	return failed
+}
+
+// levelFailures sets the failures of all members to those of the gang. No member may have a run.
+func (s *stage) levelFailures() {
+	failed := s.tasks[0].failedRuns()
+	for _, t := range s.tasks {
+		t.failures = failed
+	}
+}
+
+// loadFailures sets the failures of a stored task. Owners of older code counted each failed member of a gang as a failure of all
+// of them: no member has failed in more runs than it has ended.
+func (t *task) loadFailures(row taskRow) {
+	t.failures = row.Failures
+	if !t.stage.Gang {
+		return
+	}
+	ended := int(row.Number)
+	if row.State == taskAssigned {
+		ended--
+	}
+	t.failures = min(t.failures, ended)
+}
--- a/internal/workflow/planner/load.go
+++ b/internal/workflow/planner/load.go
@@ -100,7 +100,8 @@
 }
 
 func (c *Cell) loadTask(t *task, row taskRow, now cottonlanding.Millis) {
-	t.state, t.number, t.failures = row.State, row.Number, row.Failures
+	t.state, t.number = row.State, row.Number
+	t.loadFailures(row)
 	if t.remote() {
 		t.job.size.remote += len(t.state)
 		t.delegationCommitted = true
--- a/internal/workflow/planner/run.go
+++ b/internal/workflow/planner/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 
 	"github.com/cottonlanding/cottonlanding"
@@ -130,14 +131,11 @@
 		return
 	}
 	t.failures++
-	if t.stage.Gang {
-		for _, member := range t.stage.tasks {
-			member.failures = max(member.failures, t.failures)
-		}
-	}
-	if t.failures >= min(max(1, t.job.queue.Attempts), maxFailures) {
+	failed := t.failedRuns()
+	if failed >= min(max(1, t.job.queue.Attempts), maxFailures) {
 		c.counts.Failed++
-		c.end(t.job, cottonlanding.WorkflowFailed, "task "+t.ref.String()+" failed too often, last on "+string(w.info.ID), now)
+		reason := fmt.Sprintf("task %s failed too often (%d runs), last on %s", t.ref, failed, w.info.ID)
+		c.end(t.job, cottonlanding.WorkflowFailed, reason, now)
 		return
 	}
 	c.requeue(t, now)
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -83,6 +83,8 @@
 	fillReport func(*cottonlanding.RunReport)
 	// ownedFor is for how long ownership of the cell is guaranteed after each turn; zero sets no guarantee.
 	ownedFor cottonlanding.Millis
+	// fates decides about runs instead of their workflow's id, unless it is nil.
+	fates func(cottonlanding.RunKey) runner.Fate
 	// boundsKeptSince is the epoch from which on owners keep to lease bounds; zero is the first.
 	boundsKeptSince cottonlanding.Epoch
 }
@@ -114,6 +116,9 @@
 		}},
 	}
 	w.runner = runner.New(cottonlanding.ClockOf(func() cottonlanding.Millis { return w.now }), func(key cottonlanding.RunKey) runner.Fate {
+		if w.fates != nil {
+			return w.fates(key)
+		}
 		index := key.Task.Index
 		lasts := cottonlanding.Millis(200 + 170*index)
 		if strings.HasPrefix(string(key.Task.Workflow), "slow") {
