planner: a poll that can't extend a lease is answered at once

Cause: an owner that can't reach the table stops to poll after 3.2 s. Once it polls again the last answers are more than three seconds old, so that the first poll carries no lease, and workers held back the answer to it for 0.8 s. By their logs the polls went out 10 ms after the table was regained, and the leases ran out 0.79 s later, before the second poll.

Now a poll to a worker with runs whose last answer is too old asks for an answer within 50 ms, like one after a failed poll.

Related paths: a poll after a failed one and one that is to identify a life ask for 50 ms already, the first poll of a new owner for an answer at once.

TestPausedOwnerRenewsLeasesAtOnce failed without the change (0.8 s) and passes with it.

--- a/internal/workflow/planner/leasebounds_test.go
+++ b/internal/workflow/planner/leasebounds_test.go
@@ -230,6 +230,25 @@
 	require.Equal(t, 1, w.runner.RunsOn("w1"), "no other has room")
 }
 
+// TestPausedOwnerRenewsLeasesAtOnce guards against leases that run out although their owner polls again in time after it
+// was cut off: its first poll extends none, since the last answer is too old, and the worker held back the answer to it.
+func TestPausedOwnerRenewsLeasesAtOnce(t *testing.T) {
+	w := newLastingWorld(t)
+	w.now += maxAnswerAge
+	next, found := w.cell.NextPoll("w1", w.now)
+	require.True(t, found)
+	require.Less(t, next.Poll.Wait, 100*cottonlanding.Millis(1))
+	report, err := w.runner.Poll(t.Context(), next.Worker, next.Poll)
+	require.NoError(t, err)
+	w.cell.PollAnswered(next, report, w.now, w.now)
+	again, _ := w.cell.NextPoll("w1", w.now)
+	require.Greater(t, again.Poll.LeaseUntil, next.Poll.LeaseUntil)
+	require.Greater(t, again.Poll.Wait, next.Poll.Wait)
+}
+
+// maxAnswerAge is the age from which an answer shows nothing any more.
+const maxAnswerAge = 3 * cottonlanding.Second
+
 // TestLeasesSurviveSlowTable guards against tasks that are lost because a worker is cut off for a moment while the
 // table is slow: its lease runs out if it has to wait for two slow commits, one for its bound and one to remove
 // that.
--- a/internal/workflow/planner/poll.go
+++ b/internal/workflow/planner/poll.go
@@ -82,6 +82,8 @@
 	if w.reading > 0 && !uncommitted {
 		next.Poll.Wait = idlePollWait
 		switch {
+		case w.runs.size() > 0 && !w.reachable(now):
+			next.Poll.Wait = unconfirmedPollWait // this poll extends no lease, only the next one does
 		case w.overTarget:
 			next.Poll.Wait = overTargetPollWait
 		case w.runs.size() > 0:
