gateway: leases of owners without a limit count in full

An owner that has no reading of the table's clock says nothing of its leases and sets them no limit: they last for up to 8 s after its ownership, its grace and a whole lease. Since the heartbeats say by when leases end, a successor counted 7 s for such an owner, as for one of older code, and could have started a task elsewhere that still ran. Found in review of the change; hosts of the users' platform have a reading before they own anything. Now 8 s count for both.

TestTimingRelationsHold holds the span against lease and grace, and failed with 7 s. CheckDown is given the time of a take-over itself.

--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -137,7 +137,7 @@
 	if err := CheckTakeOverTime(settings.Holder, settings.Planner.Lease); err != nil {
 		deps.Log.Warn("spans do not fit", "Error", err)
 	}
-	if err := driver.CheckDown(settings.Planner, OwnerChangeOf(settings.Holder)); err != nil {
+	if err := driver.CheckDown(settings.Planner, settings.Holder.MaxTakeOver()); err != nil {
 		deps.Log.Warn("spans do not fit", "Error", err)
 	}
 	var err error
--- a/internal/workflow/gateway/timing.go
+++ b/internal/workflow/gateway/timing.go
@@ -48,9 +48,6 @@
 	// leases outlast a table outage of over six seconds. A lasting task whose worker is lost runs again within nine,
 	// whenever its owner is lost.
 	leaseExtension = 2200 * cottonlanding.Millis(1)
-	// untimedExtension is how much longer than one lease the leases of an owner of older code last at most after its
-	// ownership. Its heartbeats don't say when they end.
-	untimedExtension = cottonlanding.Second
 	// maxPlannerLease bounds leases below what workers grant. A worker that is lost together with its owner must be given
 	// up within about ten seconds.
 	maxPlannerLease = 6 * cottonlanding.Second
@@ -67,7 +64,7 @@
 		Reclaim:             reclaim,
 		TTL:                 holderTTL,
 		SlowTTL:             slowHolderTTL,
-		UntimedLeases:       maxPlannerLease + untimedExtension,
+		UntimedLeases:       maxPlannerLease + cutOffGrace,
 		SlowCall:            slowCall,
 		Poll:                holderPoll,
 		IdlePoll:            holderIdlePoll,
@@ -109,11 +106,6 @@
 	return nil
 }
 
-// OwnerChangeOf returns the times of a change of owners.
-func OwnerChangeOf(timing holder.Timing) planner.OwnerChange {
-	return planner.OwnerChange{Beat: timing.Poll, TakeOver: timing.MaxTakeOver()}
-}
-
 const (
 	// maxWorkersPerCell is the maximum number of workers of a cell. With these, the decisions for all tasks take a third
 	// of the time between two decisions.
--- a/internal/workflow/gateway/timing_test.go
+++ b/internal/workflow/gateway/timing_test.go
@@ -26,6 +26,7 @@
 	require.Less(t, timing.IdlePoll+timing.Timeout, 2*cottonlanding.Second, "the idle poll is frequent enough for a host to stay ready")
 	require.Greater(t, timing.FirstOwnerDelay, timing.Jitter)
 	planner := gateway.PlannerTiming(30*cottonlanding.Second, 900, cottonlanding.Minute)
+	require.GreaterOrEqual(t, timing.UntimedLeases, planner.Lease+planner.CutOffGrace, "without a limit, an owner renews leases for that long after its ownership")
 	require.LessOrEqual(t, planner.Lease+planner.CutOffGrace, 8*cottonlanding.Second)
 	require.Equal(t, 3*cottonlanding.Second, gateway.PlannerTiming(3*cottonlanding.Second, 900, cottonlanding.Minute).Lease)
 }
@@ -45,13 +46,13 @@
 // down for longer than allowed.
 func TestDowntimeWithinLimit(t *testing.T) {
 	service := gateway.PlannerTiming(30*cottonlanding.Second, 900, cottonlanding.Minute)
-	change := gateway.OwnerChangeOf(gateway.HolderTiming(true))
-	require.NoError(t, driver.CheckDown(service, change))
+	takeOver := gateway.HolderTiming(true).MaxTakeOver()
+	require.NoError(t, driver.CheckDown(service, takeOver))
 	longer, shorter := service, service
 	longer.Lease = 7 * cottonlanding.Second
-	require.ErrorContains(t, driver.CheckDown(longer, change), "a silent worker, then a start without an answer: 9.64s")
+	require.ErrorContains(t, driver.CheckDown(longer, takeOver), "a silent worker, then a start without an answer: 9.64s")
 	shorter.Lease = 5 * cottonlanding.Second
-	require.ErrorContains(t, driver.CheckDown(shorter, change), "starts extend a lease")
+	require.ErrorContains(t, driver.CheckDown(shorter, takeOver), "starts extend a lease")
 }
 
 // TestOwnerChangesWithinLimit guards against leases that last so long, or owners that are replaced so late, that a lasting task is
@@ -60,8 +61,8 @@
 	service, timing := gateway.PlannerTiming(30*cottonlanding.Second, 900, cottonlanding.Minute), gateway.HolderTiming(true)
 	longer := service
 	longer.MaxLeasePastAnswer += 300
-	require.ErrorContains(t, driver.CheckDown(longer, gateway.OwnerChangeOf(timing)), "an owner lost before it has written the bound of a silent worker: 9.08s")
+	require.ErrorContains(t, driver.CheckDown(longer, timing.MaxTakeOver()), "an owner lost before it has written the bound of a silent worker: 9.08s")
 	slower := timing
 	slower.TTL = 2 * cottonlanding.Second
-	require.ErrorContains(t, driver.CheckDown(service, gateway.OwnerChangeOf(slower)), "an owner lost after it has written it")
+	require.ErrorContains(t, driver.CheckDown(service, slower.MaxTakeOver()), "an owner lost after it has written it")
 }
--- a/internal/workflow/planner/downtimelimit.go
+++ b/internal/workflow/planner/downtimelimit.go
@@ -14,19 +14,13 @@
 	down cottonlanding.Millis
 }
 
-// OwnerChange holds the times of a change of owners while the table is not slow.
-type OwnerChange struct {
-	// Beat is the time between two heartbeats of an owner, TakeOver how long after its end it is replaced at the latest.
-	Beat, TakeOver cottonlanding.Millis
-}
-
 // CheckDown returns an error that names the sequences of waits by which one fault, or a worker and owners that are lost
-// one after the other, may keep a lasting task down for longer than maxDowntime although workers have room. call is how
-// long its owner waits for an answer, turn how long a decision, its commit and the resulting orders take together.
-// docs/design/lasting-tasks.md lists the sequences.
-func CheckDown(timing Timing, change OwnerChange, call, turn cottonlanding.Millis) error {
+// one after the other, may keep a lasting task down for longer than maxDowntime although workers have room. takeOver is
+// how long after its end an owner is replaced, call how long it waits for an answer, turn how long a decision, its commit
+// and the resulting orders take together. docs/design/lasting-tasks.md lists the sequences.
+func CheckDown(timing Timing, takeOver, call, turn cottonlanding.Millis) error {
 	var faults []string
-	for _, chain := range slices.Concat(waitChains(timing, call, turn), ownerChangeChains(timing, change, call, turn)) {
+	for _, chain := range slices.Concat(waitChains(timing, call, turn), ownerChangeChains(timing, takeOver, call, turn)) {
 		if chain.down > maxDowntime {
 			faults = append(faults, fmt.Sprintf("%s: %s", chain.name, chain.down))
 		}
@@ -66,15 +60,15 @@
 }
 
 // ownerChangeChains are the sequences with a silent worker whose owner is lost as well.
-func ownerChangeChains(timing Timing, change OwnerChange, call, turn cottonlanding.Millis) []waitChain {
+func ownerChangeChains(timing Timing, takeOver, call, turn cottonlanding.Millis) []waitChain {
 	unbounded := timing.MaxLeasePastAnswer + timing.maxLeaseSpan()/driftDivisor + leaseMargin
 	// The bound of the worker is written, and leases last longer only from the next heartbeat on.
 	bounded := withDriftMargin(timing.Lease)
 	// The last owner but one is lost just before it could write the bound.
-	secondTakeOver := busyPollWait + call + boundDelay + turn + 2*change.TakeOver + firstAnswerTimeout + turn
+	secondTakeOver := busyPollWait + call + boundDelay + turn + 2*takeOver + firstAnswerTimeout + turn
 	return []waitChain{
-		{"an owner lost before it has written the bound of a silent worker", max(unbounded, change.TakeOver) + turn},
+		{"an owner lost before it has written the bound of a silent worker", max(unbounded, takeOver) + turn},
 		{"two owners lost before they have written it", max(unbounded, secondTakeOver) + turn},
-		{"an owner lost after it has written it", bounded + change.TakeOver + turn},
+		{"an owner lost after it has written it", bounded + takeOver + turn},
 	}
 }
