planner: starts wait for a limit that leaves them a lease

An owner that takes over more than eight seconds after the last heartbeat of the one before, as after a loss of power, first repeats a limit for leases that is over. Until its own heartbeat has said more, some 0.6 s, its starts carried leases of the past: workers refused them as late, four refusals count as a fault of the worker, and it gets nothing for 1.5 s.

Now no start goes out whose lease would end within a second.

--- a/internal/workflow/planner/leasebounds.go
+++ b/internal/workflow/planner/leasebounds.go
@@ -37,6 +37,8 @@
 	// firstBoundsTimeout is how long a new owner waits for these bounds to be written before leases last longer
 	// although some workers have neither answered nor a bound.
 	firstBoundsTimeout = cottonlanding.Second
+	// minStartLease is the shortest lease with which a run is started.
+	minStartLease = cottonlanding.Second
 	// maxAnswerLag bounds the age of the last answers for which leases are kept from lasting longer: a bound may be
 	// impossible to write, and the leases of all workers must not run out for one of them.
 	maxAnswerLag = 3 * cottonlanding.Second
@@ -138,6 +140,12 @@
 	return min(span, c.bounds.leasesEnd-w.readAt)
 }
 
+// leasesEndSoon reports whether the lease of a start might run out before the next heartbeat extends the limit, as that of
+// a new owner may that repeats the limit of an earlier one.
+func (c *Cell) leasesEndSoon(now cottonlanding.Millis) bool {
+	return c.bounds.leasesEnd > 0 && c.bounds.leasesEnd-now < minStartLease
+}
+
 // mayOutlast reports whether leases on a worker may last longer than one granted now, because another life of it
 // has just taken over. If that life ended as well, its tasks would have to wait for those leases.
 func (c *Cell) mayOutlast(w *worker, now cottonlanding.Millis) bool {
--- a/internal/workflow/planner/order.go
+++ b/internal/workflow/planner/order.go
@@ -143,7 +143,7 @@
 		return order, c.stopDue(w, r, now)
 	case r.orderInFlight || now < r.nextTry || w.reading == 0:
 		return Order{}, false
-	case r.phase < started && (c.startsSuspended || c.bounds.has(w.info.ID) || w.cordoned() || !w.reachable(now) || !r.task.job.mayStart(now)):
+	case r.phase < started && (c.startsSuspended || c.leasesEndSoon(now) || c.bounds.has(w.info.ID) || w.cordoned() || !w.reachable(now) || !r.task.job.mayStart(now)):
 		// A lease that has expired by the clock of this life may be valid by the clock of the next one.
 		return Order{}, false
 	case r.phase == sent && w.lastAnswerAt <= r.sentAt && r.retriesSincePoll >= maxRetriesBeforePoll:
--- a/internal/workflow/planner/ownerloss_test.go
+++ b/internal/workflow/planner/ownerloss_test.go
@@ -157,6 +157,25 @@
 	require.Equal(t, w.now+most, w.cell.NextLeasesEnd(w.now))
 }
 
+// TestStartsWaitForNewLimit guards against starts that workers refuse as late, and so are taken for faulty, because a new
+// owner still repeats a limit for leases that is over.
+func TestStartsWaitForNewLimit(t *testing.T) {
+	w := newOwnedWorld(t)
+	w.play(cottonlanding.Second)
+	w.limitsLeases = false // no heartbeat is written for now
+	w.now += 20 * cottonlanding.Second
+	w.takeOver()
+	sent := 0
+	w.onStart = func(planner.Order) { sent++ }
+	w.submit("lasts", "Urgent", lastingOnEach)
+	w.play(2 * cottonlanding.Second)
+	require.Zero(t, sent)
+	w.limitsLeases = true
+	w.play(4 * turnSpan)
+	require.Equal(t, 4, sent)
+	require.Equal(t, 4, w.runner.Lasting())
+}
+
 // TestLeasesOutlastUnwrittenBound guards against leases of all workers that run out for one silent worker whose bound can't
 // be written, since the table is too slow.
 func TestLeasesOutlastUnwrittenBound(t *testing.T) {
