--- a/internal/coordination/holder/leases_test.go
+++ b/internal/coordination/holder/leases_test.go
@@ -1,6 +1,7 @@
 package holder_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -24,21 +25,28 @@
 type leasing struct {
 	member
 	// since is from when on its leases are to last for leaseSpan; zero says nothing.
-	since *cottonlanding.Millis
+	since *atomic.Int64
 }
 
+// say has the next beats say that leases end leaseSpan after an instant, in milliseconds of the clock.
+func (l leasing) say(since cottonlanding.Millis) { l.since.Store(int64(since)) }
+
+// said returns when the leases are to end.
+func (l leasing) said() cottonlanding.Millis { return cottonlanding.Millis(l.since.Load()) + leaseSpan }
+
 // joinLeasing starts a member that reads the table's clock if timed is set.
 func joinLeasing(store *keeper.Keeper, clock cottonlanding.Clock, id cottonlanding.SessionID, timed bool) leasing {
 	spans := timing
 	spans.Reclaim, spans.UntimedLeases = true, untimedLeases
-	faulty, since := &table{Table: store}, new(cottonlanding.Millis)
+	faulty, since := &table{Table: store}, new(atomic.Int64)
 	watcher := holder.NewWatcher(feed{store.Watched(clock), faulty}, clock, discardLog, spans.SlowCall)
 	deps := dependencies(faulty, watcher, holder.NewReader(faulty, clock, watcher, partition), clock)
 	deps.Leases = func() holder.Leases {
-		if *since == 0 {
+		from := cottonlanding.Millis(since.Load())
+		if from == 0 {
 			return holder.Leases{}
 		}
-		return holder.Leases{Since: *since, Span: leaseSpan}
+		return holder.Leases{Since: from, Span: leaseSpan}
 	}
 	if timed {
 		deps.TableClock = func() (cottonlanding.TableReading, bool) {
@@ -74,10 +82,10 @@
 				killed.awaitOwnership(t)
 				require.Zero(t, killed.View().EarlierLeasesEnd, "there was no owner")
 				require.Zero(t, killed.LeasesEnd(), "it has said nothing yet")
-				*killed.since = clock.Now()
+				killed.say(clock.Now())
 				time.Sleep(time.Second)
 				ends := killed.LeasesEnd()
-				require.Equal(t, *killed.since+leaseSpan, ends)
+				require.Equal(t, killed.said(), ends)
 				killed.Close()
 				time.Sleep(starts)
 				again := joinLeasing(store, clock, "again", true)
@@ -98,7 +106,7 @@
 		clock, store := cottonlanding.NewClock(), keeper.New()
 		first := joinLeasing(store, clock, "first", true)
 		first.awaitOwnership(t)
-		*first.since = clock.Now()
+		first.say(clock.Now())
 		time.Sleep(time.Second)
 		ends := first.LeasesEnd()
 		first.Close()
@@ -113,9 +121,9 @@
 		defer last.Close()
 		last.awaitOwnership(t)
 		requireNear(t, ends, last.View().EarlierLeasesEnd)
-		*last.since = clock.Now()
+		last.say(clock.Now())
 		time.Sleep(time.Second)
-		require.Equal(t, *last.since+leaseSpan, last.LeasesEnd())
+		require.Equal(t, last.said(), last.LeasesEnd())
 		require.NoError(t, last.Release(t.Context()))
 		require.Zero(t, last.LeasesEnd())
 	})
@@ -127,7 +135,7 @@
 		clock, store := cottonlanding.NewClock(), keeper.New()
 		released := joinLeasing(store, clock, "released", true)
 		released.awaitOwnership(t)
-		*released.since = clock.Now()
+		released.say(clock.Now())
 		time.Sleep(time.Second)
 		ends := released.LeasesEnd()
 		require.NoError(t, released.Release(t.Context()))
@@ -147,17 +155,17 @@
 		owner := joinLeasing(store, clock, "owner", true)
 		defer owner.Close()
 		owner.awaitOwnership(t)
-		*owner.since = clock.Now()
+		owner.say(clock.Now())
 		time.Sleep(time.Second)
 		ends := owner.LeasesEnd()
 		owner.table.set(func(t *table) { t.partitioned = true })
-		*owner.since = clock.Now()
+		owner.say(clock.Now())
 		time.Sleep(time.Second)
 		require.Equal(t, ends, owner.LeasesEnd())
 		owner.table.set(func(t *table) { t.partitioned = false })
 		time.Sleep(time.Second)
 		require.Greater(t, owner.LeasesEnd(), ends)
-		*owner.since -= 500
+		owner.say(owner.said() - leaseSpan - 500)
 		ends = owner.LeasesEnd()
 		time.Sleep(time.Second)
 		require.Equal(t, ends, owner.LeasesEnd(), "what was said holds")
