holder: leases whose end isn't known are not taken for ended

What callers saw: nothing on the users' platform.

Cause: since a successor counts UntimedLeases from the end of such an ownership; a span that isn't set counted as none at all, so that leases of workers that it hadn't reached yet were taken for ended with the ownership.

Now nothing is said if it isn't known, and the planner counts grace and a whole lease as before.

--- a/internal/coordination/holder/leases.go
+++ b/internal/coordination/holder/leases.go
@@ -62,14 +62,14 @@
 	return next
 }
 
-// lastLeases returns when the leases of all owners so far end, by the beat that was read last. The last of them owned the
-// cell until ownedUntil at the latest.
+// lastLeases returns when the leases of all owners so far end, by the beat that was read last, and nothing if there was no
+// owner or that isn't known. The last of them owned the cell until ownedUntil at the latest.
 func (h *Holder) lastLeases(ownedUntil cottonlanding.Millis) statedLeases {
 	reading, known := h.readTableClock()
 	last, untimed := h.beatLeases, ownedUntil+h.timing.UntimedLeases
 	switch {
-	case h.beatVersion == 0:
-		return statedLeases{} // there was no owner
+	case h.beatVersion == 0 || last.span == 0 && h.timing.UntimedLeases == 0:
+		return statedLeases{}
 	case !known:
 		return statedLeases{latest: untimed}
 	case last.span == 0:
--- a/internal/coordination/holder/leases_test.go
+++ b/internal/coordination/holder/leases_test.go
@@ -36,8 +36,13 @@
 
 // joinLeasing starts a member that reads the table's clock if timed is set.
 func joinLeasing(store *keeper.Keeper, clock cottonlanding.Clock, id cottonlanding.SessionID, timed bool) leasing {
+	return joinLeasingAfter(store, clock, id, timed, untimedLeases)
+}
+
+// joinLeasingAfter is joinLeasing with the longest leases of owners whose beats don't say when they end.
+func joinLeasingAfter(store *keeper.Keeper, clock cottonlanding.Clock, id cottonlanding.SessionID, timed bool, untimed cottonlanding.Millis) leasing {
 	spans := timing
-	spans.Reclaim, spans.UntimedLeases = true, untimedLeases
+	spans.Reclaim, spans.UntimedLeases = true, untimed
 	faulty, since := &table{Table: store}, new(atomic.Int64)
 	watcher := holder.NewWatcher(feed{store.Watched(clock), faulty}, clock, discardLog, spans.SlowCall)
 	deps := dependencies(faulty, watcher, holder.NewReader(faulty, clock, watcher, partition), clock)
@@ -191,3 +196,21 @@
 		})
 	}
 }
+
+// TestUnknownLeasesAreNotGuessed guards against leases that count as ended with the ownership, although nobody knows how
+// long they last: tasks are then started a second time while the first still runs.
+func TestUnknownLeasesAreNotGuessed(t *testing.T) {
+	for _, timed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			clock, store := cottonlanding.NewClock(), keeper.New()
+			older := joinLeasing(store, clock, "older", false)
+			older.awaitOwnership(t)
+			older.Close()
+			again := joinLeasingAfter(store, clock, "again", timed, 0)
+			defer again.Close()
+			again.awaitOwnership(t)
+			require.Zero(t, again.View().EarlierLeasesEnd)
+			require.Zero(t, again.LeasesEnd())
+		})
+	}
+}
--- a/internal/coordination/holder/member.go
+++ b/internal/coordination/holder/member.go
@@ -39,7 +39,7 @@
 	// expired in the previous owner's view, at the latest.
 	BeforeUntil cottonlanding.Millis
 	// EarlierLeasesEnd is set in the owner's own view: the instant by which the leases of all earlier
-	// owners end, by their own clocks, at the latest. It is zero if there are none.
+	// owners end, by their own clocks, at the latest. It is zero if there are none, or if it isn't known.
 	EarlierLeasesEnd cottonlanding.Millis
 	// Report is the owner's report of its cell from its last beat; other members see it up to a
 	// poll later.
@@ -66,7 +66,7 @@
 	// SlowTTL replaces TTL while the table is slow, that is, while calls take SlowCall or more.
 	SlowTTL cottonlanding.Millis
 	// UntimedLeases is how long leases last at most after the ownership of an owner whose beats don't
-	// say when they end.
+	// say when they end, zero if that isn't known.
 	UntimedLeases cottonlanding.Millis
 	SlowCall      cottonlanding.Millis
 	// Poll is the time between two reads, or between two beats of the owner.
