--- a/review/stand-2/case4.go
+++ b/review/stand-2/case4.go
@@ -2,85 +2,86 @@
 
 import (
 	"fmt"
-	"slices"
+	"net/http"
+	"syscall"
 	"time"
 )
 
-func init() { cases["4"] = crashesInTurn }
+func init() { cases["4"] = cancelledThenStarted }
 
 const (
-	// crashAfter is how long a run of the job goes before its executor crashes, crashLasts how long that is down.
-	crashAfter = 7 * time.Second
-	crashLasts = 4500 * time.Millisecond
-	// longWork is longer than crashAfter, so that the job is done once the crashes are over.
-	longWork = 9 * time.Second
-	// settleTime is how long executors are up before the job is sent.
-	settleTime = 11 * time.Second
+	// freezeLasts is how long a host stands still, patience how long the client waits for an answer.
+	freezeLasts = 4 * time.Second
+	patience    = 400 * time.Millisecond
+	// freezes is how often the host stands still, betweenFreezes the least time between two of them.
+	freezes        = 2
+	betweenFreezes = 6 * time.Second
+	// cancelBound is the time after the acknowledgement of a cancel from which no task may start.
+	cancelBound = 3 * time.Second
 )
 
-// crashesInTurn hands in a job of one task that only the two large executors of eight can run. Three times the
-// executor that runs it crashes and is back 4.5 s later; after that nothing is hurt any more. No run of the task
-// ever ends failed, so that the job must not be shown as failed.
-func crashesInTurn(p *play) (bool, error) {
+// cancelledThenStarted hands in a job at a host that stands still for 4 s and doesn't drive the job's cell. The
+// client gets no answer within its time, cancels the job at another host, and the cancel is acknowledged. No task of
+// the job may start later than cancelBound after that.
+func cancelledThenStarted(p *play) (bool, error) {
 	if err := p.begin(4); err != nil {
 		return false, err
 	}
-	var large []*executor
 	for at := range 8 {
-		cpu, name := int64(16_000), fmt.Sprintf("small%d", at)
-		if at < 2 {
-			cpu, name = 24_000, fmt.Sprintf("large%d", at)
-		}
-		e, err := p.fleet.add(name, service, zones[at%3], []string{"a", fmt.Sprintf("r1-%d", 1+at/4)}, resources{CPU: cpu, Memory: 64_000})
-		if err != nil {
+		if _, err := p.fleet.add(fmt.Sprintf("e%d", at), service, zones[at%3], []string{"a", fmt.Sprintf("r1-%d", 1+at/4)}, resources{CPU: 16_000, Memory: 64_000}); err != nil {
 			return false, err
 		}
-		if at < 2 {
-			large = append(large, e)
-		}
 	}
 	if err := p.startHosts(); err != nil {
 		return false, err
 	}
-	time.Sleep(settleTime)
-	const id, spec = "00000000000000a4", "one long firing"
-	p.works[spec] = work{resources{CPU: 20_000, Memory: 32_000}, longWork}
-	j := job{Spec: spec, Steps: []step{{Count: 1, CPU: 20_000, Memory: 32_000, Estimate: longWork.Milliseconds()}}}
-	if err := p.client.submit(p.hosts, id, j, 15*time.Second); err != nil {
-		return false, err
-	}
-	task := id + ".0.0.0"
-	if p.trouble {
-		go p.crashInTurn(large, task, 3)
-	}
-	for until := time.Now().Add(75 * time.Second); time.Now().Before(until); time.Sleep(time.Second) {
-		for _, h := range p.hosts {
-			switch p.client.state(h, id) {
-			case "succeeded":
-				return slices.Contains(p.fleet.endsOf(task), "done"), nil
-			case "failed":
-				p.record.line("check  job %s shows as failed, its runs ended: %v", id, p.fleet.endsOf(task))
-				return slices.Contains(p.fleet.endsOf(task), "failed"), nil
-			}
+	time.Sleep(3 * time.Second)
+	const spec = "one short firing"
+	p.works[spec] = work{resources{CPU: 4_000, Memory: 8_000}, 20 * time.Second}
+	j := job{Spec: spec, Steps: []step{{Count: 2, CPU: 4_000, Memory: 8_000, Estimate: 20_000}}}
+	// Which host drives the cell isn't visible from outside. One that stands still for 4 s loses the cell and refuses
+	// the job when it wakes, so that the same host stands still once more.
+	whole := true
+	for at := range freezes {
+		ok, err := p.cancelAround(p.hosts[0], p.hosts[1], fmt.Sprintf("00000000000000b%d", at), j)
+		if err != nil {
+			return false, err
 		}
+		whole = whole && ok
+		time.Sleep(betweenFreezes)
 	}
-	return false, fmt.Errorf("the job is neither done nor failed after 75 s, its runs ended: %v", p.fleet.endsOf(task))
+	return whole, nil
 }
 
-// crashInTurn lets the executor that runs the task crash so many times, crashAfter after the run has begun.
-func (p *play) crashInTurn(large []*executor, task string, times int) {
-	for range times {
-		at := -1
-		for at < 0 {
-			time.Sleep(10 * time.Millisecond)
-			at = slices.IndexFunc(large, func(e *executor) bool { return e.runs(task) })
-		}
-		time.Sleep(crashAfter)
-		large[at].crash()
-		time.Sleep(crashLasts)
-		if err := large[at].restart(); err != nil {
-			p.record.line("exec   %s can't restart: %v", large[at].name, err)
-			return
+// cancelAround hands a job in at one host, which stands still, and cancels it at another.
+func (p *play) cancelAround(frozen, other *host, id string, j job) (bool, error) {
+	if p.trouble {
+		frozen.signal(syscall.SIGSTOP)
+	}
+	frozenAt := time.Now()
+	impatient := newClient(p.record)
+	impatient.patience = patience
+	impatient.call(frozen, http.MethodPost, id, j)
+	var acknowledged time.Time
+	for acknowledged.IsZero() {
+		status, _ := p.client.call(other, http.MethodDelete, id, nil)
+		switch {
+		case status >= 200 && status < 300, status == http.StatusGone:
+			acknowledged = time.Now()
+		case time.Since(frozenAt) > 30*time.Second:
+			return false, fmt.Errorf("the cancel of job %s isn't acknowledged within 30 s", id)
+		default:
+			time.Sleep(200 * time.Millisecond)
 		}
 	}
+	time.Sleep(time.Until(frozenAt.Add(freezeLasts)))
+	if p.trouble {
+		frozen.signal(syscall.SIGCONT)
+	}
+	time.Sleep(8 * time.Second)
+	late := p.fleet.startsAfter(id, acknowledged.Add(cancelBound))
+	if late > 0 {
+		p.record.line("check  %d tasks of job %s started later than %s after its cancel was acknowledged", late, id, cancelBound)
+	}
+	return late == 0, nil
 }
