root, planner: figures of clients are bounded in one place

What callers saw: beside four workflows with absurd estimates two ordinary ones were rejected with 429, on arm64 only. TestAbsurdEstimatesDoNotAffectOthers failed each time there (2 rejected, 0 expected) and passed on x86-64.

Cause: Stretch times a chain of estimates near the largest integer was converted to Millis. Go leaves the result of a float that is out of range to the processor, and the sum with the latency target then overflowed: x86-64 gave an objective below zero (late, served last), arm64 one that is never late, so that the workflow went before all late ones. A trial with estimates of 1e15, 1e12, 1e9 and 1e7 ms, which don't overflow, rejected one ordinary workflow in the same way.

Change: the planner bounds the figures of a workflow and of its queue where a job is made, from a client or from a row: resources, latency targets and stretch to bounds whose sums fit, an estimate beyond 24 hours, which the estimator never believed, or below zero counts as none. Due times of schedules, megabytes and durations for timers no longer overflow; memMb of 2^58 passed as 0 bytes before.

TestExtremeFiguresDoNotAffectOthers plays random histories of such figures (passes without the change as well); TestDueDoesNotOverflow, TestLongDurations, TestMemoryDoesNotOverflow failed or didn't compile before.

--- a/clock.go
+++ b/clock.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 )
 
@@ -14,8 +15,11 @@
 	Minute        = 60 * Second
 )
 
-// Duration returns the duration as the standard library's type.
-func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+// Duration returns the duration as the standard library's type, or the longest of that type.
+func (m Millis) Duration() time.Duration {
+	const longest = Millis(math.MaxInt64 / time.Millisecond)
+	return time.Duration(min(max(m, -longest), longest)) * time.Millisecond
+}
 
 // String returns the duration as it is written in settings, such as "1.5s".
 func (m Millis) String() string { return m.Duration().String() }
--- a/internal/workflow/estimator/estimator.go
+++ b/internal/workflow/estimator/estimator.go
@@ -20,7 +20,7 @@
 	// maxQueueName bounds the names of learnt queues, in bytes, so that the row of all of them stays below 32 KB.
 	maxQueueName = 256
 	// maxDeclared is the largest estimate that is corrected and learnt from.
-	maxDeclared = 24 * 60 * cottonlanding.Minute
+	maxDeclared = cottonlanding.MaxEstimate
 	// windowSteps is the number of recent steps that count: enough for a standard error of a twentieth of the spread,
 	// and few enough to follow a change within half a minute at ten steps per second.
 	windowSteps = 400
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -263,7 +263,7 @@
 	c.queues = queues
 	for _, j := range c.jobs {
 		if queue, known := queues.Queues[j.Queue]; known {
-			j.queue, j.forecast = queue, nil
+			j.queue, j.forecast = queue.Bounded(), nil
 		}
 	}
 }
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -140,9 +140,10 @@
 }
 
 func newJob(workflow cottonlanding.Workflow, queue cottonlanding.Queue, now cottonlanding.Millis) *job {
+	workflow = workflow.Bounded()
 	j := &job{
 		Workflow:   workflow,
-		queue:      queue,
+		queue:      queue.Bounded(),
 		state:      cottonlanding.WorkflowPending,
 		accepted:   now,
 		rounds:     make(map[int]*round),
--- a/internal/workflow/planner/place.go
+++ b/internal/workflow/planner/place.go
@@ -50,7 +50,7 @@
 func (c *Cell) beginRounds(now cottonlanding.Millis, wall int64) {
 	for _, j := range c.openJobs {
 		for next := len(j.rounds); next < j.Schedule.Rounds; next++ {
-			due := j.Schedule.First + int64(next)*int64(j.Schedule.Interval)
+			due := j.Schedule.Due(next)
 			if wall < due || !j.hasRoomForRound() {
 				break
 			}
