planner: a submission that comes after its cancel is refused

A client got no answer from a host that stood still, cancelled at another one, was told that there is no such job (410), and the job ran when the first host woke. The same without a freeze, for a request whose last byte the network held up.

Cause: a cancel of an unknown id left no trace, so that the submission was new wherever and whenever it arrived.

Change: the owner commits a withdrawal before it answers such a cancel, and refuses later submissions and referrals of the id for as long as final workflows are kept. A cancel that follows a referral renews it, so that the home doesn't accept what the other cell has withdrawn.

--- a/internal/workflow/driver/calls.go
+++ b/internal/workflow/driver/calls.go
@@ -88,6 +88,9 @@
 	err := d.update(ctx, func(cell *planner.Cell, now cottonlanding.Millis, done func(error)) {
 		if to, found := cell.Referral(id); found && !cell.HandOverPending(id) {
 			referred = &ReferredError{to}
+			// The referral outlives what the other cell keeps of the cancelled workflow: without it, this cell would accept
+			// the workflow if it came late.
+			cell.RenewReferral(id, now)
 			cell.Refer(id, to, now, done) // the caller is sent to the other cell only once the referral is committed
 			return
 		}
--- a/internal/workflow/driver/load.go
+++ b/internal/workflow/driver/load.go
@@ -54,6 +54,7 @@
 	if err := cell.LoadReferrals(rows.referrals, now); err != nil {
 		return nil, err
 	}
+	cell.LoadWithdrawals(rows.withdrawals, now)
 	for _, row := range rows.learnt {
 		if err := cell.LoadLearnt(row); err != nil {
 			d.deps.Log.Warn("learnt image weights could not be loaded", "Error", err) // they are learnt again
@@ -76,7 +77,7 @@
 
 // cellRows holds the rows of a cell by kind.
 type cellRows struct {
-	specs, states, delegated, referrals, learnt, runTimes, bounds []cottonlanding.Row
+	specs, states, delegated, referrals, withdrawals, learnt, runTimes, bounds []cottonlanding.Row
 }
 
 // readCell reads all rows of the cell. The kinds are read concurrently: the rows don't change any more, and a slow
@@ -90,6 +91,8 @@
 		planner.StateKey(partition, ""):     &rows.states,
 		planner.DelegatedRowsKey(partition): &rows.delegated,
 		planner.ReferralKey(partition, ""):  &rows.referrals,
+
+		planner.WithdrawalKey(partition, ""): &rows.withdrawals,
 	} {
 		reads.Go(func() (err error) {
 			*dst, err = d.scan(prefix, pageSize)
--- a/internal/workflow/gateway/ownercalls.go
+++ b/internal/workflow/gateway/ownercalls.go
@@ -128,10 +128,11 @@
 	if local := p.local(); local != nil {
 		return local.Cancel(ctx, id)
 	}
+	var trailer metadata.MD
 	_, err := p.callOwner(ctx, func(ctx context.Context, owner wire.WorkflowsClient) (*wire.WorkflowReply, error) {
-		return owner.Cancel(ctx, &wire.WorkflowName{Id: string(id), Cell: int32(p.cell)})
+		return owner.Cancel(ctx, &wire.WorkflowName{Id: string(id), Cell: int32(p.cell)}, grpc.Trailer(&trailer))
 	})
-	return err
+	return messenger.WithRetryAfter(err, trailer)
 }
 
 // state returns the committed state of a workflow, read from the table if the owner can't be reached.
--- a/internal/workflow/gateway/peerserver.go
+++ b/internal/workflow/gateway/peerserver.go
@@ -65,7 +65,9 @@
 	if err != nil {
 		return reply(err), nil
 	}
-	return reply(owner.Cancel(ctx, cottonlanding.WorkflowID(request.GetId()))), nil
+	err = owner.Cancel(ctx, cottonlanding.WorkflowID(request.GetId()))
+	messenger.SetRetryAfter(ctx, err)
+	return reply(err), nil
 }
 
 // State implements wire.WorkflowsServer.
--- a/internal/workflow/planner/cell.go
+++ b/internal/workflow/planner/cell.go
@@ -84,6 +84,10 @@
 	// referral must be written.
 	referrals          map[cottonlanding.WorkflowID]*referral
 	unplannedReferrals map[cottonlanding.WorkflowID][]func(error)
+	// withdrawals are the ids that were cancelled while no workflow had them. unplannedWithdrawals are those of them that
+	// are in no plan yet, as unplannedReferrals.
+	withdrawals          map[cottonlanding.WorkflowID]*withdrawal
+	unplannedWithdrawals map[cottonlanding.WorkflowID][]func(error)
 	// remote holds the workflows of which tasks are delegated to other cells.
 	remote map[cottonlanding.WorkflowID]*job
 	// interruptedCursor and delegableCursor are where the next call of DelegableTasks resumes.
@@ -178,6 +182,11 @@
 	SeasonsLost  int64
 	// RefusedSlowTable counts submissions that were refused because their commit would have come too late.
 	RefusedSlowTable int64
+	// Withdrawn counts cancels of unknown workflows that were recorded, RefusedWithdrawals those that were refused
+	// because too many are recorded, RefusedAsWithdrawn submissions of such workflows.
+	Withdrawn          int64
+	RefusedWithdrawals int64
+	RefusedAsWithdrawn int64
 	// Samples counts the samples of serving tasks, SamplesOverTarget those over the latency target, and
 	// SamplesOverTargetBesideHeavy those of the latter that were taken while a filling task of a heavy pair worked.
 	Samples                      int64
@@ -205,6 +214,9 @@
 	c.SeasonsFound += other.SeasonsFound
 	c.SeasonsLost += other.SeasonsLost
 	c.RefusedSlowTable += other.RefusedSlowTable
+	c.Withdrawn += other.Withdrawn
+	c.RefusedWithdrawals += other.RefusedWithdrawals
+	c.RefusedAsWithdrawn += other.RefusedAsWithdrawn
 	c.Samples += other.Samples
 	c.SamplesOverTarget += other.SamplesOverTarget
 	c.SamplesOverTargetBesideHeavy += other.SamplesOverTargetBesideHeavy
@@ -234,10 +246,14 @@
 		remote:             make(map[cottonlanding.WorkflowID]*job),
 		referrals:          make(map[cottonlanding.WorkflowID]*referral),
 		unplannedReferrals: make(map[cottonlanding.WorkflowID][]func(error)),
-		interference:       newInterference(policy),
-		openLivesByWorker:  make(map[cottonlanding.WorkerID]*openLives),
-		overload:           newOverload(),
-		counts:             Counts{Ends: make(map[cottonlanding.EndKind]int64)},
+
+		withdrawals:          make(map[cottonlanding.WorkflowID]*withdrawal),
+		unplannedWithdrawals: make(map[cottonlanding.WorkflowID][]func(error)),
+
+		interference:      newInterference(policy),
+		openLivesByWorker: make(map[cottonlanding.WorkerID]*openLives),
+		overload:          newOverload(),
+		counts:            Counts{Ends: make(map[cottonlanding.EndKind]int64)},
 	}
 	if policy.LearnsRunTimes {
 		c.runTimes = estimator.New()
@@ -276,10 +292,13 @@
 	for _, callbacks := range c.unplannedReferrals {
 		callAll(callbacks, err)
 	}
+	for _, callbacks := range c.unplannedWithdrawals {
+		callAll(callbacks, err)
+	}
 	if c.inFlight != nil {
 		callAll(c.inFlight.callbacks, err)
 	}
-	c.callbacks, c.unplannedReferrals, c.inFlight = nil, nil, nil
+	c.callbacks, c.unplannedReferrals, c.unplannedWithdrawals, c.inFlight = nil, nil, nil, nil
 }
 
 func callAll(callbacks []func(error), err error) {
--- a/internal/workflow/planner/job.go
+++ b/internal/workflow/planner/job.go
@@ -259,6 +259,12 @@
 		c.whenCommitted(workflow.ID, done)
 		return
 	}
+	if !handedOver {
+		if err := c.refuseWithdrawn(workflow.ID); err != nil {
+			done(err)
+			return
+		}
+	}
 	queue, known := c.queues.Queues[workflow.Queue]
 	if !known {
 		done(fmt.Errorf("queue %s: %w", workflow.Queue, cottonlanding.ErrNotFound))
@@ -341,7 +347,8 @@
 }
 
 // Cancel cancels a workflow and calls done once that is committed. A final workflow keeps its state. done gets
-// ErrNotFound if there is no such workflow.
+// ErrNotFound if there is no such workflow; none is accepted under its id from then on. It gets ErrBusy with a retry time
+// if too many unknown workflows were cancelled.
 func (c *Cell) Cancel(id cottonlanding.WorkflowID, now cottonlanding.Millis, done func(error)) {
 	if c.HandOverPending(id) {
 		done(fmt.Errorf("workflow %s is being handed over: %w", id, cottonlanding.ErrUnavailable))
@@ -349,7 +356,7 @@
 	}
 	j := c.ownJob(id)
 	if j == nil {
-		done(fmt.Errorf("workflow %s: %w", id, cottonlanding.ErrNotFound))
+		c.withdraw(id, now, done)
 		return
 	}
 	if !j.state.Final() {
@@ -396,9 +403,11 @@
 	c.logs.forEnd(state).Info(j.endedMessage(), "Workflow", j.ID, "State", state, "Reason", reason, "After", now-j.accepted)
 }
 
-// prune removes workflows that have been final for longer than Retention, and open lives that are no longer needed.
+// prune removes workflows that have been final and withdrawals that have been kept for longer than Retention, and open
+// lives that are no longer needed.
 func (c *Cell) prune(now cottonlanding.Millis) {
 	c.pruneOpenLives(now)
+	c.expireWithdrawals(now)
 	for _, j := range c.jobs {
 		if j.persisted && c.expired(j, now) && c.dirty[j.ID] == nil {
 			c.markDirty(j)
--- a/internal/workflow/planner/plan.go
+++ b/internal/workflow/planner/plan.go
@@ -11,7 +11,7 @@
 const (
 	specPrefix  = "Specs/"
 	statePrefix = "States/"
-	// maxPlanWrites bounds the rows that jobs and referrals add to one transaction. The table accepts 100 entries, of
+	// maxPlanWrites bounds the rows that jobs, referrals and withdrawals add to one transaction. The table accepts 100 entries, of
 	// which six are needed otherwise: one for the guard, two for the committer's lane row (see the package committer),
 	// one each for the learnt interference, the learnt run times and the lease bounds.
 	maxPlanWrites = 90
@@ -129,6 +129,8 @@
 	recordedEnds map[*worker]uint64
 	// referred lists the referrals among the writes.
 	referred []cottonlanding.WorkflowID
+	// withdrawn lists the withdrawals among the writes.
+	withdrawn []cottonlanding.WorkflowID
 	// learnt says that the row of learnt interference is among the writes.
 	learnt bool
 	// runTimes says that the row of learnt run times is among the writes.
@@ -161,13 +163,15 @@
 	if c.inFlight != nil {
 		return nil
 	}
-	if _, due := c.boundsChanged(now); !due && len(c.dirty) == 0 && len(c.unplannedReferrals) == 0 && !c.learntDue(now) && !c.runTimesDue(now) {
+	if _, due := c.boundsChanged(now); !due && len(c.dirty) == 0 && len(c.unplannedReferrals) == 0 && len(c.unplannedWithdrawals) == 0 &&
+		!c.learntDue(now) && !c.runTimesDue(now) {
 		c.recordCommittedEnds(c.receivedEnds())
 		return nil
 	}
 	c.plans++
 	plan := &Plan{Checks: []cottonlanding.Check{c.setup.Guard}}
 	c.planReferrals(plan)
+	c.planWithdrawals(plan)
 	for _, id := range c.dirtyInOrder(plan) {
 		if !plan.hasRoom(maxJobWrites) {
 			break
@@ -287,6 +291,7 @@
 		t.delegationCommitted = true
 	}
 	c.recordCommittedReferrals(plan.referred, version)
+	c.recordCommittedWithdrawals(plan.withdrawn, version)
 	if plan.learnt {
 		c.learntVersion = version
 	}
--- a/internal/workflow/planner/referral.go
+++ b/internal/workflow/planner/referral.go
@@ -71,10 +71,12 @@
 }
 
 // Refer assigns an unknown workflow to another cell, unless it was referred before. done is called once that is
-// committed, or with an error once it can't be.
+// committed, or with an error once it can't be; it gets ErrNotFound if the workflow was withdrawn.
 func (c *Cell) Refer(id cottonlanding.WorkflowID, to cottonlanding.CellNumber, now cottonlanding.Millis, done func(error)) {
 	known, found := c.referrals[id]
 	switch {
+	case !found && c.withdrawals[id] != nil:
+		done(c.refuseWithdrawn(id))
 	case !found:
 		c.referrals[id] = &referral{cell: to, knownSince: now}
 		c.unplannedReferrals[id] = append(c.unplannedReferrals[id], done)
--- a/internal/workflow/planner/world_test.go
+++ b/internal/workflow/planner/world_test.go
@@ -185,6 +185,7 @@
 	w.cell.SetWorkers(slices.Clone(w.workers), w.now)
 	require.NoError(w.t, w.cell.Load(w.scan(planner.SpecKey(partition, "")), w.scan(planner.StateKey(partition, "")), w.now))
 	require.NoError(w.t, w.cell.LoadDelegated(w.scan(planner.DelegatedRowsKey(partition)), w.now))
+	w.cell.LoadWithdrawals(w.scan(planner.WithdrawalKey(partition, "")), w.now)
 	w.cell.SetTableClock(w.tableClock())
 	if row, found := w.rows[planner.RunTimesKey(partition)]; found {
 		w.runTimesErr = w.cell.LoadRunTimes(row)
