root, discovery, platform: entries that no worker can have are refused

What callers saw: nothing here. Reported by operators of other systems: one odd entry in the list of executors ended the machines that read it, or they stopped following the list.

Cause: entries were checked for what is missing, not for what can't be: ports out of range, names, addresses of no single host, capacities near the largest integer (memMb overflowed), thousands of labels, rows of 64 KB, keys that break a header. Such rows became workers. Answers of workers had numbers that the processor converts as it likes.

Numbers in answers are bounded.

--- a/internal/codec/unpacker/unpacker.go
+++ b/internal/codec/unpacker/unpacker.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 )
 
 // List is a decoded list. Entries that are left out at the end
@@ -32,16 +33,31 @@
 	return value
 }
 
-// Number returns the entry, which must be a number from zero on.
+// maxNumber is the largest number up to which all integers are exact. The conversion of much larger ones to an integer
+// depends on the processor.
+const maxNumber = 1 << 53
+
+// Number returns the entry, which must be a number from zero to maxNumber.
 func (l *List) Number(at int) float64 {
 	entry := l.entry(at)
 	value, ok := entry.(float64)
-	if !ok && entry != nil || value < 0 {
-		l.Fail(fmt.Errorf("entry %d is no number from zero on: %v", at, entry))
+	if !ok && entry != nil || value < 0 || value > maxNumber {
+		l.Fail(fmt.Errorf("entry %d is no number from zero on, or too large: %v", at, entry))
+		return 0
 	}
 	return value
 }
 
+// Count returns the entry, which must be a number from zero to the largest of 32 bits.
+func (l *List) Count(at int) uint32 {
+	value := l.Number(at)
+	if value > math.MaxUint32 {
+		l.Fail(fmt.Errorf("entry %d is too large: %v", at, value))
+		return 0
+	}
+	return uint32(value)
+}
+
 func (l *List) entry(at int) any {
 	if at >= len(l.entries) {
 		return nil
--- a/internal/codec/unpacker/unpacker_test.go
+++ b/internal/codec/unpacker/unpacker_test.go
@@ -20,8 +20,10 @@
 func TestFirstFaultIsKept(t *testing.T) {
 	for _, one := range []struct{ data, fault string }{
 		{`{"a":1}`, "row: json: cannot unmarshal object"},
-		{`["a", 1]`, "row: entry 0 is no number from zero on: a"},
-		{`[-1, 1]`, "row: entry 0 is no number from zero on: -1"},
+		{`["a", 1]`, "row: entry 0 is no number from zero on, or too large: a"},
+		{`[-1, 1]`, "row: entry 0 is no number from zero on, or too large: -1"},
+		{`[1e300, 1]`, "row: entry 0 is no number from zero on, or too large: 1e+300"},
+		{`[9007199254740994, 1]`, "row: entry 0 is no number from zero on, or too large"},
 		{`[1, 2]`, "row: entry 1 is no text: 2"},
 	} {
 		list := unpacker.New("row", []byte(one.data))
--- a/internal/discovery/discoverer/discoverer.go
+++ b/internal/discovery/discoverer/discoverer.go
@@ -5,7 +5,9 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 
@@ -23,6 +25,9 @@
 	RemovalDelay cottonlanding.Millis
 }
 
+// maxReason bounds what is kept and logged of why an entry was refused, in bytes.
+const maxReason = 300
+
 // Parse decodes the entry of a worker. It returns an error if the entry describes no usable worker.
 type Parse func(id cottonlanding.WorkerID, entry []byte) (cottonlanding.WorkerInfo, error)
 
@@ -141,6 +146,7 @@
 		for id := range d.workers {
 			d.markMissing(id, now)
 		}
+		d.dropRefusals(reading.Rows)
 	}
 	for _, row := range reading.Rows {
 		id := cottonlanding.WorkerID(row.Key)
@@ -178,7 +184,7 @@
 // briefly, but an unusable one has replaced the worker's own, as when another writer overwrites it. It reports whether
 // the list changes.
 func (d *Discoverer) refuse(id cottonlanding.WorkerID, cause error) bool {
-	if reason := cause.Error(); d.refusals[id] != reason {
+	if reason := fmt.Sprintf("%.*s", maxReason, cause.Error()); d.refusals[id] != reason {
 		d.refusals[id] = reason
 		d.log.Error("worker's description refused", "Worker", id, "Error", reason, "Listed", d.workers[id].ID != "")
 	}
@@ -188,6 +194,15 @@
 	return listed
 }
 
+// dropRefusals forgets the refusals of entries that a whole reading lacks.
+func (d *Discoverer) dropRefusals(rows []cottonlanding.FeedRow) {
+	present := make(map[cottonlanding.WorkerID]bool, len(rows))
+	for _, row := range rows {
+		present[cottonlanding.WorkerID(row.Key)] = true
+	}
+	maps.DeleteFunc(d.refusals, func(id cottonlanding.WorkerID, _ string) bool { return !present[id] })
+}
+
 func (d *Discoverer) markMissing(id cottonlanding.WorkerID, now cottonlanding.Millis) {
 	if _, marked := d.missingSince[id]; !marked && d.workers[id].ID != "" {
 		d.missingSince[id] = now
--- a/internal/discovery/relayer/cache.go
+++ b/internal/discovery/relayer/cache.go
@@ -1,6 +1,7 @@
 package relayer
 
 import (
+	"bytes"
 	"fmt"
 	"slices"
 
@@ -32,6 +33,7 @@
 // tableCache holds the last known state of a table and its recent changes.
 type tableCache struct {
 	attributes func(entry []byte) any
+	maxEntry   int
 	rows       map[string]cachedEntry
 	// changes holds the changed and the removed entries in the order in which they were received. Entries that were
 	// rewritten with the same attributes are left out.
@@ -58,8 +60,8 @@
 	recordedAt cottonlanding.Millis
 }
 
-func newTableCache(attributes func(entry []byte) any) *tableCache {
-	return &tableCache{attributes: attributes, rows: make(map[string]cachedEntry)}
+func newTableCache(attributes func(entry []byte) any, maxEntry int) *tableCache {
+	return &tableCache{attributes: attributes, maxEntry: maxEntry, rows: make(map[string]cachedEntry)}
 }
 
 // apply merges a reading, whose entries are in the order of their changes. It returns the entries that have changed, or
@@ -69,7 +71,9 @@
 		c.dropMissing(reading, now)
 	}
 	var changed []cottonlanding.FeedRow
-	for _, row := range reading.Rows {
+	for at, row := range reading.Rows {
+		row.Value = c.cut(row.Value)
+		reading.Rows[at] = row
 		if c.applyRow(row) {
 			c.changes = append(c.changes, recordedChange{row, now})
 			changed = append(changed, row)
@@ -88,6 +92,14 @@
 	return changed
 }
 
+// cut returns the part of an entry that is kept.
+func (c *tableCache) cut(entry []byte) []byte {
+	if c.maxEntry == 0 || len(entry) <= c.maxEntry {
+		return entry
+	}
+	return slices.Clone(entry[:c.maxEntry+1])
+}
+
 // applyRow merges an entry and reports whether it has changed.
 func (c *tableCache) applyRow(row cottonlanding.FeedRow) bool {
 	if row.Deleted {
@@ -95,7 +107,7 @@
 		return true
 	}
 	attributes := c.attributes(row.Value)
-	if before, found := c.rows[row.Key]; found && attributes != nil && before.attributes == attributes {
+	if before, found := c.rows[row.Key]; found && before.attributes == attributes && (attributes != nil || bytes.Equal(before.row.Value, row.Value)) {
 		return false
 	}
 	c.rows[row.Key] = cachedEntry{row, attributes}
--- a/internal/discovery/relayer/relayer.go
+++ b/internal/discovery/relayer/relayer.go
@@ -61,8 +61,11 @@
 	// Attributes returns the comparable content of an entry, or nil if it can't be decoded. An entry has changed if its
 	// attributes differ (==) or are nil.
 	Attributes func(entry []byte) any
-	Clock      cottonlanding.Clock
-	Log        *slog.Logger
+	// MaxEntry is the length in bytes from which on an entry can't be decoded. Longer ones are cut to one byte more, so
+	// that what other writers leave costs little; zero is unbounded.
+	MaxEntry int
+	Clock    cottonlanding.Clock
+	Log      *slog.Logger
 }
 
 // Relay is a feed that reads from a source instead of the table, and is a source for others. It implements
@@ -100,7 +103,7 @@
 		deps:       deps,
 		timing:     timing,
 		choose:     func() Source { return nil },
-		tableCache: newTableCache(deps.Attributes),
+		tableCache: newTableCache(deps.Attributes, deps.MaxEntry),
 		updated:    make(chan struct{}),
 	}
 }
--- a/internal/operators/recorder/recorder.go
+++ b/internal/operators/recorder/recorder.go
@@ -55,7 +55,10 @@
 			continue
 		}
 		if name == "" {
-			r.log.Error("evacuation refused", "Key", row.Key, "Error", "it names no data centre")
+			if row.Version > r.versions[""] {
+				r.versions[""] = row.Version
+				r.log.Error("evacuation refused", "Key", row.Key, "Error", "it names no data centre")
+			}
 			continue
 		}
 		dataCentre := cottonlanding.DataCentre(name)
