listener, platform: what clients can make a host hold is bounded

What callers saw: in a trial of the users' a process ran out of memory.

Cause: the HTTP library kept what came and handed over whole requests only; nothing counted what all connections hold, and of the users' limits one was read, after the whole body was taken. Lists of a job grew up to seventy times when they were decoded.

Connections, heads, bodies with what they are decoded into, times and the kernel's buffers have bounds that follow from the memory and the descriptors of the process; requests that aren't whole give way to others, and a refusal says when to come back. A workflow is checked before it is sent to another host.

--- a/internal/daemon/runner/runner.go
+++ b/internal/daemon/runner/runner.go
@@ -27,6 +27,7 @@
 	"github.com/cottonlanding/cottonlanding/internal/request/dispatcher"
 	"github.com/cottonlanding/cottonlanding/internal/request/lender"
 	"github.com/cottonlanding/cottonlanding/internal/request/seater"
+	"github.com/cottonlanding/cottonlanding/internal/settings/allotter"
 	"github.com/cottonlanding/cottonlanding/internal/settings/loader"
 	"github.com/cottonlanding/cottonlanding/internal/web/listener"
 )
@@ -149,7 +150,15 @@
 	peerServer.Serve(exchanger.Parts{
 		Exchanger: r.exchanger, Owner: r.owner, Dispatcher: r.dispatcher, Released: r.observer.Nudge,
 	})
-	if r.listener, err = listener.New(r.api(), settings.HTTPAddress); err != nil {
+	var allotment allotter.Allotment
+	allotment.ReadEnvironment()
+	limits := listener.Limits{Log: r.log}
+	if allotment != (allotter.Allotment{}) {
+		limits = listener.For(allotment.Memory, allotment.Descriptors)
+		limits.Log = r.log
+		allotment.LimitHeap()
+	}
+	if r.listener, err = listener.NewLimited(r.api(), limits, settings.HTTPAddress); err != nil {
 		r.abort()
 		return nil, err
 	}
--- a/internal/workflow/gateway/gateway.go
+++ b/internal/workflow/gateway/gateway.go
@@ -272,6 +272,9 @@
 // be, ErrBusy that it was rejected because of overload, with a retry time, and ErrAmbiguous that it may have been
 // accepted.
 func (g *Gateway) Submit(ctx context.Context, workflow cottonlanding.Workflow) error {
+	if err := workflow.Check(); err != nil {
+		return err // before it is sent to another host
+	}
 	return g.callFollowingReferral(workflow.ID, func(p *participant) error { return p.submit(ctx, workflow, false) })
 }
 
