--- a/internal/web/listener/admitter.go
+++ b/internal/web/listener/admitter.go
@@ -32,19 +32,16 @@
 	mu      sync.Mutex
 	open    map[*connection]struct{}
 	charged cottonlanding.Bytes
-	counts  Counts
+	counts  tally
 	// logged is what counts were when they were last logged.
-	logged Counts
+	logged tally
 }
 
-// Counts is what a listener has turned away, and what it holds.
-type Counts struct {
-	// Evicted counts the connections that gave way to others, Refused those that were closed because all others had whole
-	// requests, and RefusedRequests the requests for which there was no memory.
-	Evicted, Refused, RefusedRequests int64
-	// Open is the number of open connections, Charged what is charged for their requests.
-	Open    int
-	Charged cottonlanding.Bytes
+// tally is what a listener has turned away.
+type tally struct {
+	// evicted counts the connections that gave way to others, refused those that were closed because all others had whole
+	// requests, and refusedRequests the requests for which there was no memory.
+	evicted, refused, refusedRequests int64
 }
 
 func newAdmitter(limits Limits) *admitter {
@@ -62,14 +59,14 @@
 		victim = a.victim(now)
 	}
 	if full && victim == nil {
-		a.counts.Refused++
+		a.counts.refused++
 		a.mu.Unlock()
 		refuse(accepted)
 		return nil
 	}
 	receiving := victim != nil && victim.receiving()
 	if victim != nil {
-		a.counts.Evicted++
+		a.counts.evicted++
 		a.remove(victim)
 	}
 	a.open[c] = struct{}{}
@@ -131,7 +128,7 @@
 			fits = false
 			break
 		}
-		a.counts.Evicted++
+		a.counts.evicted++
 		a.remove(victim)
 		victims = append(victims, victim)
 	}
@@ -139,7 +136,7 @@
 		a.charged += amount
 		c.charged += amount
 	} else {
-		a.counts.RefusedRequests++
+		a.counts.refusedRequests++
 	}
 	a.mu.Unlock()
 	for _, victim := range victims {
@@ -247,14 +244,14 @@
 	}
 	counts, changed := a.counts, a.counts != a.logged
 	a.logged = a.counts
-	counts.Open, counts.Charged = len(a.open), a.charged
+	connections, charged := len(a.open), a.charged
 	a.mu.Unlock()
 	for _, c := range overdue {
 		end(c, false)
 	}
 	if changed {
-		a.limits.Log.Warn("clients are turned away", "Evicted", counts.Evicted, "Refused", counts.Refused,
-			"RefusedRequests", counts.RefusedRequests, "Connections", counts.Open, "Charged", counts.Charged)
+		a.limits.Log.Warn("clients are turned away", "Evicted", counts.evicted, "Refused", counts.refused,
+			"RefusedRequests", counts.refusedRequests, "Connections", connections, "Charged", charged)
 	}
 }
 
