--- a/internal/web/listener/admitter.go
+++ b/internal/web/listener/admitter.go
@@ -30,6 +30,7 @@
 	clock  cottonlanding.Clock
 
 	mu      sync.Mutex
+	closed  bool
 	open    map[*connection]struct{}
 	charged cottonlanding.Bytes
 	counts  tally
@@ -54,8 +55,8 @@
 	c := &connection{Conn: accepted, admitter: a, since: now}
 	a.mu.Lock()
 	var victim *connection
-	full := len(a.open) >= a.limits.Connections
-	if full {
+	full := a.closed || len(a.open) >= a.limits.Connections
+	if full && !a.closed {
 		victim = a.victim(now)
 	}
 	if full && victim == nil {
@@ -224,6 +225,24 @@
 	c.charged = 0
 }
 
+// close refuses further connections, and ends those that have never had a request: the server would wait for one for
+// seconds.
+func (a *admitter) close() {
+	var unused []*connection
+	a.mu.Lock()
+	a.closed = true
+	for c := range a.open {
+		if c.phase == idle && !c.used {
+			a.remove(c)
+			unused = append(unused, c)
+		}
+	}
+	a.mu.Unlock()
+	for _, c := range unused {
+		end(c, false)
+	}
+}
+
 // evict closes a connection whose request has to give way.
 func (a *admitter) evict(c *connection) {
 	a.forget(c)
--- a/internal/web/listener/limits_test.go
+++ b/internal/web/listener/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -186,3 +187,31 @@
 		require.GreaterOrEqual(t, limits.Memory, cottonlanding.Bytes(16*4*largestBody+headCharge*16384), "16 of the largest bodies at once")
 	}
 }
+
+// TestCloseDoesNotWaitForUnusedConnections guards against a stop that waits for connections on which no request was sent
+// yet, and against one that cuts off a whole request.
+func TestCloseDoesNotWaitForUnusedConnections(t *testing.T) {
+	address := freeAddress(t)
+	begun, release := make(chan struct{}), make(chan struct{})
+	server, err := listener.New(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(begun)
+		<-release
+		w.WriteHeader(http.StatusOK)
+	}), address)
+	require.NoError(t, err)
+	for range 3 {
+		dial(t, address)
+	}
+	busy := dial(t, address)
+	_, err = io.WriteString(busy, post("whole"))
+	require.NoError(t, err)
+	<-begun
+	time.AfterFunc(100*time.Millisecond, func() { close(release) })
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	require.NoError(t, server.Close(ctx))
+	response, err := http.ReadResponse(bufio.NewReader(busy), nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusOK, response.StatusCode)
+}
--- a/internal/web/listener/listener.go
+++ b/internal/web/listener/listener.go
@@ -224,6 +224,7 @@
 
 // Close stops accepting, waits for the requests that are being served until ctx ends, and ends the connections.
 func (l *Listener) Close(ctx context.Context) error {
+	l.admitter.close()
 	err := l.server.Shutdown(ctx)
 	if err != nil {
 		err = errors.Join(fmt.Errorf("shut down the HTTP server: %w", err), l.server.Close())
