--- /dev/null
+++ b/review/stand-3/deployment.go
@@ -0,0 +1,316 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	serviceName = "s1"
+	executorCPU = 32000
+	routeHost   = "jobs.example"
+	routePath   = "/jobs/"
+	// callTimeout is how long a client waits for an answer.
+	callTimeout = 3 * time.Second
+)
+
+// zones are the data centres of the deployment.
+var zones = []string{"z1", "z2", "z3"}
+
+// host is a process of the project.
+type host struct {
+	name, ip, front, readiness string
+	settings                   string
+	command                    *exec.Cmd
+	done                       chan struct{}
+}
+
+// deployment is all that a scenario plays with.
+type deployment struct {
+	store     *store
+	storeAt   string
+	executors []*executor
+	hosts     []*host
+	dir       string
+	began     time.Time
+
+	mu      sync.Mutex
+	log     *os.File
+	running map[string]map[string]bool // by task: where it runs
+	done    map[string]int             // by task: a run that ended done and was noted
+	doneRun map[string]int             // by task: a run that ended done
+	starts  map[string]int
+	broken  []string
+	quiet   bool
+}
+
+func (d *deployment) record(format string, args ...any) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordLocked(format, args...)
+}
+
+func (d *deployment) recordLocked(format string, args ...any) {
+	fmt.Fprintf(d.log, "%8.3f %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (d *deployment) violation(format string, args ...any) {
+	d.broken = append(d.broken, fmt.Sprintf(format, args...))
+	d.recordLocked("BROKEN "+format, args...)
+}
+
+func (d *deployment) started(run *taskRun, executor string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordLocked("task %s run %d starts on %s", run.task, run.number, executor)
+	d.starts[run.task]++
+	if d.running[run.task] == nil {
+		d.running[run.task] = make(map[string]bool)
+	}
+	for other := range d.running[run.task] {
+		d.violation("TWICE: task %s runs on %s and on %s", run.task, other, executor)
+	}
+	if noted := d.done[run.task]; noted > 0 {
+		d.violation("TWICE: task %s starts as run %d after run %d was noted as done", run.task, run.number, noted)
+	}
+	d.running[run.task][executor] = true
+}
+
+func (d *deployment) ended(run *taskRun, executor, how string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.recordLocked("task %s run %d on %s: %s", run.task, run.number, executor, how)
+	delete(d.running[run.task], executor)
+	if how == "done" {
+		d.doneRun[run.task] = run.number
+	}
+}
+
+func (d *deployment) noted(task string, number int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.doneRun[task] == number {
+		d.done[task] = number
+	}
+}
+
+// where returns the executors on which a task runs now.
+func (d *deployment) where(task string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id := range d.running[task] {
+		return id
+	}
+	return ""
+}
+
+// executorOf returns the executor with a life of the given id.
+func (d *deployment) executorOf(id string) *executor {
+	for _, e := range d.executors {
+		e.mu.Lock()
+		same := e.id == id
+		e.mu.Unlock()
+		if same {
+			return e
+		}
+	}
+	return nil
+}
+
+// deploy starts the store, the executors and the hosts.
+func deploy(dir, record string, executors, hosts int) (*deployment, error) {
+	log, err := os.Create(record)
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{
+		store: newStore(), dir: dir, began: time.Now(), log: log, running: make(map[string]map[string]bool),
+		done: make(map[string]int), doneRun: make(map[string]int), starts: make(map[string]int),
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	d.storeAt = listener.Addr().String()
+	go func() { _ = (&http.Server{Handler: d.store}).Serve(listener) }()
+	d.configure(1)
+	for at := range executors {
+		e := &executor{deployment: d, machine: fmt.Sprintf("m%d", at), zone: zones[at%len(zones)], rack: fmt.Sprintf("r%d-%d", at%len(zones)+1, at/24), address: "127.0.0.1:0"}
+		if err := e.begin(); err != nil {
+			return nil, err
+		}
+		d.executors = append(d.executors, e)
+	}
+	net2, net3 := 1+rand.IntN(250), 1+rand.IntN(250)
+	for at := range hosts {
+		h := &host{name: fmt.Sprintf("edge-%s-%d", zones[at%len(zones)], at), ip: fmt.Sprintf("127.%d.%d.%d", net2, net3, 10+at)}
+		h.front, h.readiness = h.ip+":8161", h.ip+":8167"
+		if err := d.writeSettings(h, zones[at%len(zones)]); err != nil {
+			return nil, err
+		}
+		if err := d.start(h); err != nil {
+			return nil, err
+		}
+		d.hosts = append(d.hosts, h)
+	}
+	return d, nil
+}
+
+// configure has the operator write a configuration.
+func (d *deployment) configure(version int) {
+	data, _ := json.Marshal(map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "r-1", "hostname": routeHost, "pathPrefix": routePath, "routeType": "non_idempotent", "timeoutMs": 3000,
+			"targetLatencyMs": 1000, "priority": 0, "backend": serviceName, "maxAttempts": 4, "stretch": 2.0,
+		}},
+		"services": []map[string]any{{"name": serviceName, "healthPath": "/health", "maxConnections": 64, "protocol": "h1", "enforcesCapacity": true}},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	d.store.put("op", "config", data)
+}
+
+var gap = regexp.MustCompile(`\{\{([a-zA-Z0-9_.]+)\}\}`)
+
+// writeSettings fills in the template of a host's settings.
+func (d *deployment) writeSettings(h *host, zone string) error {
+	template, err := os.ReadFile("deploy/host.yaml.tmpl")
+	if err != nil {
+		return err
+	}
+	values := map[string]string{
+		"nodeName": h.name, "zone": zone, "ip": h.ip, names["front"]: h.front, names["readiness"]: h.readiness, "internalPorts.0": "7720",
+		"limits.cpuShare": "0.4", "limits.linkMbps": "1000.0", "platform.address": d.storeAt, "bounds.holdMaxMs": "10000",
+		"bounds.stopTimeoutMs": "900", "bounds.status_s": "120", "bounds.graceS": "6",
+	}
+	filled := gap.ReplaceAllStringFunc(string(template), func(one string) string { return values[strings.Trim(one, "{}")] })
+	h.settings = filepath.Join(d.dir, h.name+".yaml")
+	return os.WriteFile(h.settings, []byte(filled), 0o600)
+}
+
+// start starts the process of a host.
+func (d *deployment) start(h *host) error {
+	log, err := os.OpenFile(filepath.Join(d.dir, h.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	h.command = exec.Command("target/cottonhost")
+	h.command.Env = append(os.Environ(), names["settings"]+"="+h.settings, "HOST_MEMORY_MB=284", "HOST_DESCRIPTORS=4100")
+	h.command.Stdout, h.command.Stderr = log, log
+	if err := h.command.Start(); err != nil {
+		return err
+	}
+	h.done = make(chan struct{})
+	command, done := h.command, h.done
+	go func() {
+		_ = command.Wait()
+		_ = log.Close()
+		close(done)
+	}()
+	d.record("host %s starts", h.name)
+	return nil
+}
+
+// kill ends the process of a host with SIGKILL.
+func (d *deployment) kill(h *host) {
+	d.record("host %s is killed", h.name)
+	_ = h.command.Process.Kill()
+	<-h.done
+}
+
+// end ends all processes that the deployment has started.
+func (d *deployment) end() {
+	for _, h := range d.hosts {
+		_ = h.command.Process.Kill()
+		<-h.done
+	}
+}
+
+// ready waits until all hosts are ready.
+func (d *deployment) ready() bool {
+	for until := time.Now().Add(25 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+		count := 0
+		for _, h := range d.hosts {
+			if response, err := http.Get("http://" + h.readiness + names["ready"]); err == nil {
+				_ = response.Body.Close()
+				if response.StatusCode == http.StatusOK {
+					count++
+				}
+			}
+		}
+		if count == len(d.hosts) {
+			return true
+		}
+	}
+	return false
+}
+
+// call makes one call of a client; status 0 is no answer.
+func (d *deployment) call(h *host, method, id string, body any) (int, string) {
+	var data []byte
+	if body != nil {
+		data, _ = json.Marshal(body)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+h.front+routePath+id, bytes.NewReader(data))
+	if err != nil {
+		return 0, err.Error()
+	}
+	request.Host = routeHost
+	request.Header.Set("X-Deadline-Ms", "3000")
+	request.Header.Set("Content-Type", "application/json")
+	status, answer := 0, ""
+	if response, err := http.DefaultClient.Do(request); err == nil {
+		content, _ := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		status, answer = response.StatusCode, string(content)
+	}
+	if !d.quiet || method != http.MethodGet {
+		d.record("client %s %s at %s: %d %s", method, id, h.name, status, strings.TrimSpace(answer))
+	}
+	return status, answer
+}
+
+// submit hands a job in until it is accepted.
+func (d *deployment) submit(id, payload string, steps ...map[string]any) bool {
+	body := map[string]any{names["payload"]: payload, "steps": steps}
+	for try := range 20 {
+		if status, _ := d.call(d.hosts[try%len(d.hosts)], http.MethodPost, id, body); status >= 200 && status < 300 {
+			return true
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return false
+}
+
+// state asks for the state of a job until a host answers.
+func (d *deployment) state(id string) string {
+	for try := range 20 {
+		status, answer := d.call(d.hosts[try%len(d.hosts)], http.MethodGet, id, nil)
+		var shown struct {
+			State string `json:"state"`
+		}
+		switch {
+		case status == http.StatusOK && json.Unmarshal([]byte(answer), &shown) == nil:
+			return shown.State
+		case status == http.StatusGone:
+			return "gone"
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	return "no answer"
+}
