--- a/review/stand-3/deployment.go
+++ b/review/stand-3/deployment.go
@@ -55,6 +55,10 @@
 	starts  map[string]int
 	broken  []string
 	quiet   bool
+	gangs   gangs
+	// lateUntil is until when one order in lateEvery gets no answer and is carried out late.
+	lateUntil time.Time
+	orders    int
 }
 
 func (d *deployment) record(format string, args ...any) {
@@ -72,6 +76,22 @@
 	d.recordLocked("BROKEN "+format, args...)
 }
 
+// lateEvery makes a share of 0.055 of the orders late.
+const lateEvery = 19
+
+// lateness returns after how long the next order is carried out, zero if it is at once.
+func (d *deployment) lateness() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if time.Now().After(d.lateUntil) {
+		return 0
+	}
+	if d.orders++; d.orders%lateEvery != 0 {
+		return 0
+	}
+	return 2*time.Second + time.Duration(rand.IntN(10_000))*time.Millisecond
+}
+
 func (d *deployment) started(run *taskRun, executor string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -231,6 +251,24 @@
 	<-h.done
 }
 
+// owner returns the host that says last that it has taken over.
+func (d *deployment) owner() *host {
+	var found *host
+	latest := ""
+	for _, h := range d.hosts {
+		data, _ := os.ReadFile(filepath.Join(d.dir, h.name+".log"))
+		for line := range strings.Lines(string(data)) {
+			var entry struct {
+				Time, Msg, Error string
+			}
+			if json.Unmarshal([]byte(line), &entry) == nil && entry.Msg == "take over" && entry.Error == "" && entry.Time > latest {
+				found, latest = h, entry.Time
+			}
+		}
+	}
+	return found
+}
+
 // end ends all processes that the deployment has started.
 func (d *deployment) end() {
 	for _, h := range d.hosts {
@@ -287,7 +325,11 @@
 
 // submit hands a job in until it is accepted.
 func (d *deployment) submit(id, payload string, steps ...map[string]any) bool {
-	body := map[string]any{names["payload"]: payload, "steps": steps}
+	return d.hand(id, map[string]any{names["payload"]: payload, "steps": steps})
+}
+
+// hand hands a job in until it is accepted.
+func (d *deployment) hand(id string, body map[string]any) bool {
 	for try := range 20 {
 		if status, _ := d.call(d.hosts[try%len(d.hosts)], http.MethodPost, id, body); status >= 200 && status < 300 {
 			return true
--- a/review/stand-3/executor.go
+++ b/review/stand-3/executor.go
@@ -26,6 +26,14 @@
 	fails    bool
 	stopping bool
 	ended    bool
+	// gang is the number of members of a gang, which work only together; apart bounds the tasks of one step and time on
+	// an executor, needs is a label, first and interval are those of a schedule, chain is the number of tasks of a step
+	// of which each comes after the one before.
+	gang, apart, chain int
+	needs              string
+	first, interval    int64
+	// together is the gang that the run belongs to.
+	together *gang
 }
 
 // endedRun is an end that an executor lists.
@@ -94,6 +102,9 @@
 	e.up = false
 	server, id := e.server, e.id
 	for _, run := range e.runs {
+		if run.together != nil {
+			run.together.breakUp()
+		}
 		e.deployment.ended(run, id, "gone")
 	}
 	e.runs = nil
@@ -146,6 +157,17 @@
 			switch {
 			case e.clock() > e.lease:
 				e.end(run, "lapsed")
+			case run.together != nil && !run.together.complete():
+				if run.together.isBroken() {
+					e.end(run, "broken")
+				} else if time.Since(run.began) > gangWait {
+					e.end(run, "alone")
+				}
+			case run.together != nil && run.together.isBroken():
+				e.end(run, "broken")
+			case run.together != nil && run.together.isDone(run.takes):
+				e.end(run, "done")
+			case run.together != nil:
 			case run.takes > 0 && time.Since(run.began) >= run.takes && run.fails:
 				e.end(run, "failed")
 			case run.takes > 0 && time.Since(run.began) >= run.takes:
@@ -162,6 +184,9 @@
 		return
 	}
 	run.ended = true
+	if run.together != nil && how != "done" {
+		run.together.breakUp()
+	}
 	delete(e.runs, run.task)
 	e.last[run.task] = max(e.last[run.task], run.number)
 	e.serial++
@@ -189,6 +214,11 @@
 		e.look(w, r, call)
 		return
 	}
+	if after := e.deployment.lateness(); after > 0 {
+		go e.carryOutLate(r.URL.Path, r.Header.Get("X-Expected-Instance"), call, after)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	status, reason := e.order(r.URL.Path, call)
@@ -199,6 +229,19 @@
 	write(w, status, fields)
 }
 
+// carryOutLate carries out an order after some time, if the life that it names is still there.
+func (e *executor) carryOutLate(path, id string, call map[string]any, after time.Duration) {
+	e.deployment.record("executor %s leaves an order for task %s run %d unanswered for %s", id, text(call, "task"), number(call, "runId"), after.Round(time.Millisecond))
+	time.Sleep(after)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.up || e.id != id {
+		return
+	}
+	status, reason := e.order(path, call)
+	e.deployment.record("executor %s carries out the late order for task %s run %d: %d %s", id, text(call, "task"), number(call, "runId"), status, reason)
+}
+
 func write(w http.ResponseWriter, status int, fields map[string]any) {
 	data, _ := json.Marshal(fields) // it holds nothing that can't be encoded
 	w.Header().Set("Content-Type", "application/json")
@@ -285,6 +328,10 @@
 		return http.StatusConflict, "room"
 	}
 	e.runs[task] = next
+	if next.gang > 0 {
+		next.together = e.deployment.gangs.join(task, run, next.gang)
+	}
+	e.checkPlace(next)
 	e.deployment.started(next, e.id)
 	return http.StatusOK, ""
 }
@@ -304,6 +351,18 @@
 			run.cpu = count
 		case "fails":
 			run.fails = count > 0
+		case "gang":
+			run.gang = count
+		case "apart":
+			run.apart = count
+		case "chain":
+			run.chain = count
+		case "needs":
+			run.needs = value
+		case "first":
+			_, _ = fmt.Sscan(value, &run.first)
+		case "interval":
+			run.interval = int64(count)
 		}
 	}
 	return run
@@ -351,7 +410,7 @@
 	for _, run := range e.runs {
 		percent := 100
 		if run.takes > 0 {
-			percent = min(99, int(100*time.Since(run.began)/run.takes))
+			percent = min(99, int(100*run.worked()/run.takes))
 		}
 		running = append(running, []any{run.task, run.number, "", percent, run.cpu})
 	}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
+	"strings"
 	"time"
 )
 
@@ -24,6 +26,8 @@
 	play             scenario
 }{
 	"crashes": {48, 3, crashes},
+	"mixed":   {24, 3, mixed},
+	"late":    {48, 3, late},
 }
 
 func main() {
@@ -127,3 +131,158 @@
 	}
 	return nil, true
 }
+
+// mixed hands in gangs, schedules, chains and tasks that are to be kept apart, while hosts are killed and executors
+// crash.
+func mixed(d *deployment, trouble bool) ([]string, bool) {
+	d.quiet = true
+	var ids []string
+	tasks := make(map[string]int)
+	stop := make(chan struct{})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for turn := 0; trouble; turn++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Duration(2000+rand.IntN(4000)) * time.Millisecond):
+			}
+			if turn%2 == 0 {
+				h := d.hosts[rand.IntN(len(d.hosts))]
+				d.kill(h)
+				time.Sleep(400 * time.Millisecond)
+				_ = d.start(h)
+				continue
+			}
+			for range 1 + rand.IntN(3) {
+				e := d.executors[rand.IntN(len(d.executors))]
+				e.crash()
+				time.Sleep(time.Duration(rand.IntN(300)) * time.Millisecond)
+				go func() {
+					time.Sleep(restartIn)
+					_ = e.begin()
+				}()
+			}
+		}
+	}()
+	for number := range 60 {
+		id := fmt.Sprintf("%016x", 0xa000+number)
+		body := map[string]any{}
+		switch number % 6 {
+		case 0: // a gang
+			body["steps"] = []map[string]any{{"count": 6, "cpu": 9000, "memMb": 2000, "estimatedMs": 900, "gang": true, "sameRack": number%12 == 0}}
+			body[names["payload"]], tasks[id] = "ms=900 cpu=9000 gang=6", 6
+		case 1: // a schedule
+			first := time.Now().Add(2 * time.Second).UnixMilli()
+			body["steps"] = []map[string]any{{"count": 2, "cpu": 1000, "memMb": 200, "estimatedMs": 300}, {"count": 2, "cpu": 1000, "memMb": 200, "estimatedMs": 300, "after": []int{0}}}
+			body["firstRunMs"], body["intervalMs"], body["repeatCount"] = first, 1500, 8
+			body[names["payload"]], tasks[id] = fmt.Sprintf("ms=300 cpu=1000 chain=2 first=%d interval=1500", first), 32
+		case 2: // kept apart
+			body["steps"] = []map[string]any{{"count": 12, "cpu": 2000, "memMb": 200, "estimatedMs": 500, "antiAffinity": 1}}
+			body[names["payload"]], tasks[id] = "ms=500 cpu=2000 apart=1", 12
+		case 3: // a label
+			rack := d.executors[number%len(d.executors)].rack
+			body["steps"] = []map[string]any{{"count": 8, "cpu": 2000, "memMb": 200, "estimatedMs": 700, "requirements": rack}}
+			body[names["payload"]], tasks[id] = "ms=700 cpu=2000 needs="+rack, 8
+		case 4: // a chain of gangs
+			body["steps"] = []map[string]any{{"count": 3, "cpu": 3000, "memMb": 200, "estimatedMs": 600, "gang": true}, {"count": 3, "cpu": 3000, "memMb": 200, "estimatedMs": 600, "gang": true, "after": []int{0}}, {"count": 3, "cpu": 3000, "memMb": 200, "estimatedMs": 600, "gang": true, "after": []int{1}}}
+			body[names["payload"]], tasks[id] = "ms=600 cpu=3000 gang=3 chain=3", 9
+		default: // scheduled gangs
+			first := time.Now().Add(time.Second).UnixMilli()
+			body["steps"] = []map[string]any{{"count": 3, "cpu": 2000, "memMb": 200, "estimatedMs": 400, "gang": true}}
+			body["firstRunMs"], body["intervalMs"], body["repeatCount"] = first, 700, 10
+			body[names["payload"]], tasks[id] = fmt.Sprintf("ms=400 cpu=2000 gang=3 first=%d interval=700", first), 30
+		}
+		if d.hand(id, body) {
+			ids = append(ids, id)
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	close(stop)
+	<-ended
+	var problems []string
+	for until := time.Now().Add(30 * time.Second); ; time.Sleep(500 * time.Millisecond) {
+		problems = nil
+		for _, id := range ids {
+			if state := d.state(id); state != "succeeded" {
+				problems = append(problems, fmt.Sprintf("LOST: job %s shows as %s", id, state))
+			}
+		}
+		if len(problems) == 0 || time.Now().After(until) {
+			break
+		}
+	}
+	for _, id := range ids {
+		count := 0
+		d.mu.Lock()
+		for task := range d.doneRun {
+			if strings.HasPrefix(task, id) {
+				count++
+			}
+		}
+		d.mu.Unlock()
+		if count != tasks[id] && len(problems) == 0 {
+			problems = append(problems, fmt.Sprintf("MIXED: %d of %d tasks of job %s are done", count, tasks[id], id))
+		}
+	}
+	return problems, len(ids) > 50
+}
+
+// late has workers carry out a few orders late. Long after the last of them, the executor of a lasting task crashes and
+// the owner is killed.
+func late(d *deployment, trouble bool) ([]string, bool) {
+	d.quiet = true
+	if trouble {
+		d.mu.Lock()
+		d.lateUntil = time.Now().Add(5500 * time.Millisecond)
+		d.mu.Unlock()
+		d.record("orders are late for 5.5 s")
+	}
+	for number := range 12 {
+		id := fmt.Sprintf("%016x", 0xb000+number)
+		if !d.submit(id, "ms=400 cpu=2000", map[string]any{"count": 24, "cpu": 2000, "memMb": 200, "estimatedMs": 400}) {
+			return nil, false
+		}
+		time.Sleep(450 * time.Millisecond)
+	}
+	time.Sleep(15 * time.Second) // the last late order is carried out
+	const id = "00000000000000d1"
+	if !d.submit(id, "ms=0 cpu=2000", map[string]any{"count": 1, "cpu": 2000, "memMb": 200, "longRunning": true}) {
+		return nil, false
+	}
+	task := id + ".0.0.0"
+	at := awaitRun(d, task, 5*time.Second)
+	if at == "" {
+		return nil, false
+	}
+	time.Sleep(100 * time.Millisecond)
+	if !trouble {
+		time.Sleep(10 * time.Second)
+		if d.where(task) == "" {
+			return []string{"LOST: the task doesn't run"}, true
+		}
+		return nil, true
+	}
+	e, owner := d.executorOf(at), d.owner()
+	if e == nil || owner == nil {
+		return nil, false
+	}
+	began := time.Now()
+	e.crash()
+	d.kill(owner)
+	time.Sleep(restartIn)
+	if err := d.start(owner); err != nil {
+		return nil, false
+	}
+	if err := e.begin(); err != nil {
+		return nil, false
+	}
+	awaitRun(d, task, 40*time.Second)
+	down := time.Since(began)
+	d.record("the task was down for %s", down.Round(time.Millisecond))
+	if down > 10*time.Second {
+		return []string{fmt.Sprintf("LOST: a task that is to last didn't run for %s, with capacity for it and nothing disturbed after the first 1.5 s", down.Round(time.Millisecond))}, true
+	}
+	return nil, true
+}
