--- a/review/stand-3/deployment.go
+++ b/review/stand-3/deployment.go
@@ -27,6 +27,21 @@
 	callTimeout = 3 * time.Second
 )
 
+// perRack is the number of executors of a rack.
+const perRack = 8
+
+// size says how large the hosts are, and how many executors of each of the first two racks are of another kind.
+type size struct {
+	processorShare, link string
+	otherKind            int
+}
+
+// small are hosts as a small deployment has them, large the larger ones of a large deployment.
+var (
+	small = size{processorShare: "0.4", link: "1000.0"}
+	large = size{processorShare: "0.8", link: "200.0", otherKind: 4}
+)
+
 // zones are the data centres of the deployment.
 var zones = []string{"z1", "z2", "z3"}
 
@@ -151,7 +166,7 @@
 }
 
 // deploy starts the store, the executors and the hosts.
-func deploy(dir, record string, executors, hosts int) (*deployment, error) {
+func deploy(dir, record string, executors, hosts int, size size) (*deployment, error) {
 	log, err := os.Create(record)
 	if err != nil {
 		return nil, err
@@ -168,7 +183,14 @@
 	go func() { _ = (&http.Server{Handler: d.store}).Serve(listener) }()
 	d.configure(1)
 	for at := range executors {
-		e := &executor{deployment: d, machine: fmt.Sprintf("m%d", at), zone: zones[at%len(zones)], rack: fmt.Sprintf("r%d-%d", at%len(zones)+1, at/24), address: "127.0.0.1:0"}
+		inZone := at / len(zones)
+		e := &executor{
+			deployment: d, machine: fmt.Sprintf("m%d", at), zone: zones[at%len(zones)], address: "127.0.0.1:0",
+			rack: fmt.Sprintf("r%d-%d", at%len(zones)+1, inZone/perRack), kind: "a",
+		}
+		if at%len(zones) == 0 && inZone < 2*perRack && inZone%perRack < size.otherKind {
+			e.kind = "b"
+		}
 		if err := e.begin(); err != nil {
 			return nil, err
 		}
@@ -178,7 +200,7 @@
 	for at := range hosts {
 		h := &host{name: fmt.Sprintf("edge-%s-%d", zones[at%len(zones)], at), ip: fmt.Sprintf("127.%d.%d.%d", net2, net3, 10+at)}
 		h.front, h.readiness = h.ip+":8161", h.ip+":8167"
-		if err := d.writeSettings(h, zones[at%len(zones)]); err != nil {
+		if err := d.writeSettings(h, zones[at%len(zones)], size); err != nil {
 			return nil, err
 		}
 		if err := d.start(h); err != nil {
@@ -206,14 +228,14 @@
 var gap = regexp.MustCompile(`\{\{([a-zA-Z0-9_.]+)\}\}`)
 
 // writeSettings fills in the template of a host's settings.
-func (d *deployment) writeSettings(h *host, zone string) error {
+func (d *deployment) writeSettings(h *host, zone string, size size) error {
 	template, err := os.ReadFile("deploy/host.yaml.tmpl")
 	if err != nil {
 		return err
 	}
 	values := map[string]string{
 		"nodeName": h.name, "zone": zone, "ip": h.ip, names["front"]: h.front, names["readiness"]: h.readiness, "internalPorts.0": "7720",
-		"limits.cpuShare": "0.4", "limits.linkMbps": "1000.0", "platform.address": d.storeAt, "bounds.holdMaxMs": "10000",
+		"limits.cpuShare": size.processorShare, "limits.linkMbps": size.link, "platform.address": d.storeAt, "bounds.holdMaxMs": "10000",
 		"bounds.stopTimeoutMs": "900", "bounds.status_s": "120", "bounds.graceS": "6",
 	}
 	filled := gap.ReplaceAllStringFunc(string(template), func(one string) string { return values[strings.Trim(one, "{}")] })
--- a/review/stand-3/executor.go
+++ b/review/stand-3/executor.go
@@ -49,6 +49,7 @@
 	deployment *deployment
 	machine    string
 	zone, rack string
+	kind       string
 	address    string
 
 	mu        sync.Mutex
@@ -132,7 +133,7 @@
 		}
 		entry, _ := json.Marshal(map[string]any{
 			"backend": serviceName, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": state, "sequence": e.sequence,
-			"capacity": map[string]any{"cpu": executorCPU, "memMb": 128000}, "labels": []string{"a", e.rack}, "machine": e.machine,
+			"capacity": map[string]any{"cpu": executorCPU, "memMb": 128000}, "labels": []string{e.kind, e.rack}, "machine": e.machine,
 		})
 		id := e.id
 		e.mu.Unlock()
--- a/review/stand-3/gang.go
+++ b/review/stand-3/gang.go
@@ -94,8 +94,8 @@
 	step, _ := strconv.Atoi(parts[2])
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if run.needs != "" && run.needs != e.rack {
-		d.violation("ROUTE: task %s needs %s and starts on %s of rack %s", run.task, run.needs, e.id, e.rack)
+	if run.needs != "" && run.needs != e.rack && run.needs != e.kind {
+		d.violation("ROUTE: task %s needs %s and starts on %s of kind %s and rack %s", run.task, run.needs, e.id, e.kind, e.rack)
 	}
 	if due := run.first + round*run.interval; run.first > 0 && time.Now().UnixMilli() < due-250 {
 		d.violation("ORDER: task %s starts %d ms early", run.task, due-time.Now().UnixMilli())
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -23,11 +23,13 @@
 
 var scenarios = map[string]struct {
 	executors, hosts int
+	size             size
 	play             scenario
 }{
-	"crashes": {48, 3, crashes},
-	"mixed":   {24, 3, mixed},
-	"late":    {48, 3, late},
+	"crashes": {48, 3, small, crashes},
+	"mixed":   {24, 3, small, mixed},
+	"late":    {48, 3, small, late},
+	"label":   {400, 5, large, label},
 }
 
 func main() {
@@ -51,7 +53,7 @@
 	if os.Getenv("KEEP") == "" {
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	d, err := deploy(dir, record, chosen.executors, chosen.hosts)
+	d, err := deploy(dir, record, chosen.executors, chosen.hosts, chosen.size)
 	if d != nil {
 		defer d.end()
 	}
@@ -286,3 +288,61 @@
 	}
 	return nil, true
 }
+
+// label has the executors of a kind that stand in one rack be lost for good. Jobs that need that kind can run on those
+// of another rack.
+func label(d *deployment, trouble bool) ([]string, bool) {
+	d.quiet = true
+	hand := func(number int) string {
+		id := fmt.Sprintf("%016x", 0xc000+number)
+		if !d.submit(id, "ms=500 cpu=1000 needs=b", map[string]any{"count": 1, "cpu": 1000, "memMb": 200, "estimatedMs": 500, "requirements": "b"}) {
+			return ""
+		}
+		return id
+	}
+	const before, after = 8, 12
+	waiting := func(ids []string, within time.Duration) []string {
+		for until := time.Now().Add(within); ; time.Sleep(500 * time.Millisecond) {
+			var out []string
+			for _, id := range ids {
+				if state := d.state(id); state != "succeeded" {
+					out = append(out, id+" shows as "+state)
+				}
+			}
+			if len(out) == 0 || time.Now().After(until) {
+				return out
+			}
+		}
+	}
+	var ids []string
+	for number := range before {
+		ids = append(ids, hand(number))
+	}
+	if problems := waiting(ids, 15*time.Second); len(problems) > 0 {
+		d.record("before the trouble: %s", strings.Join(problems, ", "))
+		return nil, false
+	}
+	lost, left := 0, 0
+	for _, e := range d.executors {
+		switch {
+		case e.kind == "b" && e.rack == "r1-0" && trouble:
+			e.crash()
+			lost++
+		case e.kind == "b":
+			left++
+		}
+	}
+	d.record("%d executors of kind b are lost for good, %d are left", lost, left)
+	time.Sleep(12 * time.Second)
+	ids = nil
+	for number := range after {
+		if id := hand(before + number); id != "" {
+			ids = append(ids, id)
+		}
+	}
+	var problems []string
+	for _, one := range waiting(ids, 20*time.Second) {
+		problems = append(problems, fmt.Sprintf("LOST: job %s after 20 s, with %d idle executors for it", one, left))
+	}
+	return problems, len(ids) == after
+}
