--- a/review/stand-3/deployment.go
+++ b/review/stand-3/deployment.go
@@ -55,12 +55,14 @@
 
 // deployment is all that a scenario plays with.
 type deployment struct {
-	store     *store
-	storeAt   string
-	executors []*executor
-	hosts     []*host
-	dir       string
-	began     time.Time
+	store   *store
+	storeAt string
+	// storeListener accepts the connections to the store.
+	storeListener *mutingListener
+	executors     []*executor
+	hosts         []*host
+	dir           string
+	began         time.Time
 
 	mu      sync.Mutex
 	log     *os.File
@@ -142,6 +144,13 @@
 	}
 }
 
+// overCapacity records that a start goes over an executor's capacity.
+func (d *deployment) overCapacity(run *taskRun, executor string, used int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.violation("LIMIT: task %s run %d starts on %s, of which %d are used", run.task, run.number, executor, used)
+}
+
 // where returns the executors on which a task runs now.
 func (d *deployment) where(task string) string {
 	d.mu.Lock()
@@ -180,7 +189,8 @@
 		return nil, err
 	}
 	d.storeAt = listener.Addr().String()
-	go func() { _ = (&http.Server{Handler: d.store}).Serve(listener) }()
+	d.storeListener = &mutingListener{Listener: listener}
+	go func() { _ = (&http.Server{Handler: d.store}).Serve(d.storeListener) }()
 	d.configure(1)
 	for at := range executors {
 		inZone := at / len(zones)
@@ -291,6 +301,18 @@
 	return found
 }
 
+// silence makes all open connections to the store and to executors go silent.
+func (d *deployment) silence() {
+	d.record("all open connections to the store and to executors go silent")
+	d.storeListener.silence()
+	for _, e := range d.executors {
+		e.mu.Lock()
+		listener := e.listener
+		e.mu.Unlock()
+		listener.silence()
+	}
+}
+
 // end ends all processes that the deployment has started.
 func (d *deployment) end() {
 	for _, h := range d.hosts {
--- a/review/stand-3/executor.go
+++ b/review/stand-3/executor.go
@@ -58,6 +58,7 @@
 	up        bool
 	draining  bool
 	server    *http.Server
+	listener  *mutingListener
 	born      time.Time
 	runs      map[string]*taskRun
 	last      map[string]int
@@ -84,9 +85,9 @@
 	e.id = fmt.Sprintf("i-%s-%d", e.machine, e.life)
 	e.up, e.draining, e.born, e.changed = true, false, time.Now(), make(chan struct{})
 	e.runs, e.last, e.ends, e.serial, e.fence, e.lease = make(map[string]*taskRun), make(map[string]int), nil, 0, 0, 0
-	server := &http.Server{Handler: e}
-	e.server = server
-	go func() { _ = server.Serve(listener) }()
+	server, muting := &http.Server{Handler: e}, &mutingListener{Listener: listener}
+	e.server, e.listener = server, muting
+	go func() { _ = server.Serve(muting) }()
 	go e.tick(e.life)
 	go e.beat(e.life)
 	e.deployment.record("executor %s is up at %s", e.id, e.address)
@@ -326,6 +327,7 @@
 		used += other.cpu
 	}
 	if used+next.cpu > executorCPU {
+		e.deployment.overCapacity(next, e.id, used)
 		return http.StatusConflict, "room"
 	}
 	e.runs[task] = next
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -29,6 +29,9 @@
 	"crashes": {48, 3, small, crashes},
 	"mixed":   {24, 3, small, mixed},
 	"late":    {48, 3, small, late},
+	"silent":  {48, 3, small, silent},
+	"wide":    {48, 3, small, wide},
+	"long":    {12, 3, small, long},
 	"label":   {400, 5, large, label},
 }
 
@@ -150,7 +153,13 @@
 				return
 			case <-time.After(time.Duration(2000+rand.IntN(4000)) * time.Millisecond):
 			}
-			if turn%2 == 0 {
+			if turn%3 == 2 {
+				d.mu.Lock()
+				d.lateUntil = time.Now().Add(5500 * time.Millisecond)
+				d.mu.Unlock()
+				continue
+			}
+			if turn%3 == 0 {
 				h := d.hosts[rand.IntN(len(d.hosts))]
 				d.kill(h)
 				time.Sleep(400 * time.Millisecond)
@@ -199,6 +208,10 @@
 		if d.hand(id, body) {
 			ids = append(ids, id)
 		}
+		load := fmt.Sprintf("%016x", 0x9000+number)
+		if d.submit(load, "ms=900 cpu=5000", map[string]any{"count": 60, "cpu": 5000, "memMb": 200, "estimatedMs": 900}) {
+			ids, tasks[load] = append(ids, load), 60
+		}
 		time.Sleep(500 * time.Millisecond)
 	}
 	close(stop)
@@ -346,3 +359,88 @@
 	}
 	return problems, len(ids) == after
 }
+
+// silent has open connections go silent again and again, while jobs run and some last.
+func silent(d *deployment, trouble bool) ([]string, bool) {
+	d.quiet = true
+	var ids []string
+	for number := range 6 {
+		id := fmt.Sprintf("%016x", 0xd000+number)
+		if !d.submit(id, "ms=0 cpu=2000", map[string]any{"count": 4, "cpu": 2000, "memMb": 200, "longRunning": true}) {
+			return nil, false
+		}
+	}
+	var problems []string
+	for number := range 150 {
+		id := fmt.Sprintf("%016x", 0xe000+number)
+		if d.submit(id, "ms=600 cpu=2000 chain=4", map[string]any{"count": 4, "cpu": 2000, "memMb": 200, "estimatedMs": 600}, map[string]any{"count": 4, "cpu": 2000, "memMb": 200, "estimatedMs": 600, "after": []int{0}}) {
+			ids = append(ids, id)
+		}
+		if trouble && number%40 == 20 {
+			d.silence()
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	for until := time.Now().Add(15 * time.Second); ; time.Sleep(500 * time.Millisecond) {
+		problems = nil
+		for _, id := range ids {
+			if state := d.state(id); state != "succeeded" {
+				problems = append(problems, fmt.Sprintf("LOST: job %s shows as %s", id, state))
+			}
+		}
+		for number := range 24 {
+			task := fmt.Sprintf("%016x.0.0.%d", 0xd000+number/4, number%4)
+			if d.where(task) == "" {
+				problems = append(problems, "LOST: task "+task+" doesn't run")
+			}
+		}
+		if len(problems) == 0 || time.Now().After(until) {
+			return problems, true
+		}
+	}
+}
+
+// wide hands in jobs of as many tasks as are taken, while owners are killed.
+func wide(d *deployment, trouble bool) ([]string, bool) {
+	d.quiet = true
+	var ids []string
+	for number := range 6 {
+		id := fmt.Sprintf("%016x", 0xf000+number)
+		steps := []map[string]any{{"count": 500, "cpu": 500, "memMb": 20, "estimatedMs": 200, "checkpointing": true}, {"count": 500, "cpu": 500, "memMb": 20, "estimatedMs": 200, "after": []int{0}}}
+		if d.submit(id, "ms=200 cpu=500 chain=500", steps...) {
+			ids = append(ids, id)
+		}
+		time.Sleep(2 * time.Second)
+		if owner := d.owner(); trouble && owner != nil {
+			d.kill(owner)
+			time.Sleep(400 * time.Millisecond)
+			_ = d.start(owner)
+		}
+	}
+	var problems []string
+	for until := time.Now().Add(60 * time.Second); ; time.Sleep(500 * time.Millisecond) {
+		problems = nil
+		for _, id := range ids {
+			if state := d.state(id); state != "succeeded" {
+				problems = append(problems, fmt.Sprintf("LOST: job %s shows as %s", id, state))
+			}
+		}
+		if len(problems) == 0 || time.Now().After(until) {
+			return problems, len(ids) > 4
+		}
+	}
+}
+
+// long hands in a job of one task that takes 200 s, and shows how often it is started in 30 s.
+func long(d *deployment, _ bool) ([]string, bool) {
+	d.quiet = true
+	const id = "00000000000000e1"
+	if !d.submit(id, "ms=200000 cpu=2000", map[string]any{"count": 1, "cpu": 2000, "memMb": 200, "estimatedMs": 200000}) {
+		return nil, false
+	}
+	time.Sleep(30 * time.Second)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	fmt.Println("starts of one task in 30 s:", d.starts[id+".0.0.0"])
+	return nil, true
+}
