--- a/review/stand-3/deployment.go
+++ b/review/stand-3/deployment.go
@@ -34,11 +34,14 @@
 type size struct {
 	processorShare, link string
 	otherKind            int
+	// keepsIDs has an executor start under the id that it had before, and tell when its life began.
+	keepsIDs bool
 }
 
 // small are hosts as a small deployment has them, large the larger ones of a large deployment.
 var (
 	small = size{processorShare: "0.4", link: "1000.0"}
+	fleet = size{processorShare: "0.8", link: "200.0", keepsIDs: true}
 	large = size{processorShare: "0.8", link: "200.0", otherKind: 4}
 )
 
@@ -55,6 +58,7 @@
 
 // deployment is all that a scenario plays with.
 type deployment struct {
+	size    size
 	store   *store
 	storeAt string
 	// storeListener accepts the connections to the store.
@@ -76,6 +80,8 @@
 	// lateUntil is until when one order in lateEvery gets no answer and is carried out late.
 	lateUntil time.Time
 	orders    int
+	// lateStart is the task whose first start is carried out late.
+	lateStart string
 }
 
 func (d *deployment) record(format string, args ...any) {
@@ -93,6 +99,17 @@
 	d.recordLocked("BROKEN "+format, args...)
 }
 
+// takeLateStart reports whether the start of a task is to be carried out late, once.
+func (d *deployment) takeLateStart(task string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if task != d.lateStart {
+		return false
+	}
+	d.lateStart = ""
+	return true
+}
+
 // lateEvery makes a share of 0.055 of the orders late.
 const lateEvery = 19
 
@@ -181,7 +198,7 @@
 		return nil, err
 	}
 	d := &deployment{
-		store: newStore(), dir: dir, began: time.Now(), log: log, running: make(map[string]map[string]bool),
+		size: size, store: newStore(), dir: dir, began: time.Now(), log: log, running: make(map[string]map[string]bool),
 		done: make(map[string]int), doneRun: make(map[string]int), starts: make(map[string]int),
 	}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/review/stand-3/executor.go
+++ b/review/stand-3/executor.go
@@ -50,7 +50,9 @@
 	machine    string
 	zone, rack string
 	kind       string
-	address    string
+	// hasLateStart says that a start was left unanswered.
+	hasLateStart bool
+	address      string
 
 	mu        sync.Mutex
 	life      int
@@ -83,6 +85,9 @@
 	e.address = listener.Addr().String()
 	e.life++
 	e.id = fmt.Sprintf("i-%s-%d", e.machine, e.life)
+	if e.deployment.size.keepsIDs {
+		e.id = "i-" + e.machine
+	}
 	e.up, e.draining, e.born, e.changed = true, false, time.Now(), make(chan struct{})
 	e.runs, e.last, e.ends, e.serial, e.fence, e.lease = make(map[string]*taskRun), make(map[string]int), nil, 0, 0, 0
 	server, muting := &http.Server{Handler: e}, &mutingListener{Listener: listener}
@@ -102,7 +107,7 @@
 		return
 	}
 	e.up = false
-	server, id := e.server, e.id
+	server, id, life := e.server, e.id, e.life
 	for _, run := range e.runs {
 		if run.together != nil {
 			run.together.breakUp()
@@ -115,7 +120,12 @@
 	e.deployment.record("executor %s crashes", id)
 	go func() {
 		time.Sleep(3 * heartbeat)
-		e.deployment.store.remove("servers", id)
+		e.mu.Lock()
+		replaced := e.deployment.size.keepsIDs && e.life != life
+		e.mu.Unlock()
+		if !replaced {
+			e.deployment.store.remove("servers", id)
+		}
 	}()
 }
 
@@ -132,10 +142,12 @@
 		if e.draining {
 			state = "draining"
 		}
-		entry, _ := json.Marshal(map[string]any{
+		fields := map[string]any{
 			"backend": serviceName, "address": e.address, "zone": e.zone, "version": "v1", "slots": 8, "state": state, "sequence": e.sequence,
 			"capacity": map[string]any{"cpu": executorCPU, "memMb": 128000}, "labels": []string{e.kind, e.rack}, "machine": e.machine,
-		})
+		}
+		e.addBirth(fields)
+		entry, _ := json.Marshal(fields)
 		id := e.id
 		e.mu.Unlock()
 		e.deployment.store.put("servers", id, entry)
@@ -143,6 +155,13 @@
 	}
 }
 
+// addBirth adds when the life began, where executors keep their ids. The caller holds the lock.
+func (e *executor) addBirth(fields map[string]any) {
+	if e.deployment.size.keepsIDs {
+		fields["born"] = e.born.UnixMilli()
+	}
+}
+
 // clock is the executor's steady clock in milliseconds.
 func (e *executor) clock() int64 { return time.Since(e.born).Milliseconds() + 1 }
 
@@ -216,6 +235,11 @@
 		e.look(w, r, call)
 		return
 	}
+	if r.URL.Path == names["start"] && e.deployment.takeLateStart(text(call, "task")) {
+		go e.carryOutInThirdLife(call)
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if after := e.deployment.lateness(); after > 0 {
 		go e.carryOutLate(r.URL.Path, r.Header.Get("X-Expected-Instance"), call, after)
 		<-r.Context().Done()
@@ -231,6 +255,32 @@
 	write(w, status, fields)
 }
 
+// lateInLife is how long after the beginning of a life a start is carried out that came to an earlier one.
+const lateInLife = 50 * time.Millisecond
+
+// carryOutInThirdLife carries out a start late: when the executor is back for the second time, if that is 2 to 12 s
+// after the start came.
+func (e *executor) carryOutInThirdLife(call map[string]any) {
+	came := time.Now()
+	e.mu.Lock()
+	first := e.life
+	e.hasLateStart = true
+	e.mu.Unlock()
+	e.deployment.record("executor %s leaves the start of task %s run %d unanswered, for later", e.id, text(call, "task"), number(call, "runId"))
+	for time.Since(came) < 12*time.Second {
+		time.Sleep(time.Millisecond)
+		e.mu.Lock()
+		if e.up && e.life == first+2 && time.Since(e.born) >= lateInLife && time.Since(came) >= 2*time.Second {
+			status, reason := e.order(names["start"], call)
+			e.deployment.record("executor %s carries out the late start of task %s run %d after %s: %d %s", e.id, text(call, "task"),
+				number(call, "runId"), time.Since(came).Round(time.Millisecond), status, reason)
+			e.mu.Unlock()
+			return
+		}
+		e.mu.Unlock()
+	}
+}
+
 // carryOutLate carries out an order after some time, if the life that it names is still there.
 func (e *executor) carryOutLate(path, id string, call map[string]any, after time.Duration) {
 	e.deployment.record("executor %s leaves an order for task %s run %d unanswered for %s", id, text(call, "task"), number(call, "runId"), after.Round(time.Millisecond))
@@ -421,6 +471,7 @@
 		ended = append(ended, []any{one.serial, one.task, one.number, one.how, ""})
 	}
 	fields := map[string]any{"clockMs": e.clock(), "running": running, "ended": ended}
+	e.addBirth(fields)
 	e.mu.Unlock()
 	write(w, http.StatusOK, fields)
 }
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -32,6 +32,7 @@
 	"silent":  {48, 3, small, silent},
 	"wide":    {48, 3, small, wide},
 	"long":    {12, 3, small, long},
+	"flap":    {48, 3, fleet, flap},
 	"label":   {400, 5, large, label},
 }
 
@@ -444,3 +445,62 @@
 	fmt.Println("starts of one task in 30 s:", d.starts[id+".0.0.0"])
 	return nil, true
 }
+
+// flap has one executor, which keeps its id, crash twice after it has left the start of a task unanswered. The start is
+// carried out as it comes back for the second time.
+func flap(d *deployment, trouble bool) ([]string, bool) {
+	const id = "00000000000000f1"
+	task := id + ".0.0.0"
+	// Other tasks begin just before, so that the late order is one of 41. They last, one on an executor, and executors
+	// that have some are preferred.
+	others := map[string]any{"count": 40, "cpu": 5000, "memMb": 200, "longRunning": true, "antiAffinity": 1}
+	if !d.submit("00000000000000f2", "ms=0 cpu=5000", others) {
+		return nil, false
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		d.mu.Lock()
+		d.lateStart = task
+		d.mu.Unlock()
+	}
+	if !d.submit(id, "ms=9000 cpu=2000", map[string]any{"count": 1, "cpu": 2000, "memMb": 200, "estimatedMs": 9000}) {
+		return nil, false
+	}
+	if !trouble {
+		ran := awaitRun(d, task, 5*time.Second) != ""
+		time.Sleep(12 * time.Second)
+		return nil, ran && d.state(id) == "succeeded"
+	}
+	var flapping *executor
+	for until := time.Now().Add(5 * time.Second); flapping == nil && time.Now().Before(until); time.Sleep(waitStep) {
+		for _, e := range d.executors {
+			e.mu.Lock()
+			if e.hasLateStart {
+				flapping = e
+			}
+			e.mu.Unlock()
+		}
+	}
+	if flapping == nil {
+		return nil, false
+	}
+	time.Sleep(600 * time.Millisecond)
+	flapping.crash()
+	time.Sleep(restartIn)
+	if flapping.begin() != nil {
+		return nil, false
+	}
+	at := awaitRun(d, task, 8*time.Second)
+	if at == "" || at == flapping.id {
+		d.record("the task runs on %q", at)
+		return nil, false
+	}
+	time.Sleep(500 * time.Millisecond)
+	flapping.crash()
+	time.Sleep(restartIn)
+	if flapping.begin() != nil {
+		return nil, false
+	}
+	time.Sleep(12 * time.Second)
+	return nil, true
+}
