--- a/review/stand-3/deployment.go
+++ b/review/stand-3/deployment.go
@@ -80,8 +80,9 @@
 	// lateUntil is until when one order in lateEvery gets no answer and is carried out late.
 	lateUntil time.Time
 	orders    int
-	// lateStart is the task whose first start is carried out late.
-	lateStart string
+	// lateStart is the task whose first start is carried out late, livesUntilStart how many lives later.
+	lateStart       string
+	livesUntilStart int
 }
 
 func (d *deployment) record(format string, args ...any) {
--- a/review/stand-3/executor.go
+++ b/review/stand-3/executor.go
@@ -236,7 +236,7 @@
 		return
 	}
 	if r.URL.Path == names["start"] && e.deployment.takeLateStart(text(call, "task")) {
-		go e.carryOutInThirdLife(call)
+		go e.carryOutInLaterLife(call, e.deployment.livesUntilStart)
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
@@ -258,9 +258,9 @@
 // lateInLife is how long after the beginning of a life a start is carried out that came to an earlier one.
 const lateInLife = 50 * time.Millisecond
 
-// carryOutInThirdLife carries out a start late: when the executor is back for the second time, if that is 2 to 12 s
-// after the start came.
-func (e *executor) carryOutInThirdLife(call map[string]any) {
+// carryOutInLaterLife carries out a start late: when the executor is back for the given time, if that is 2 to 12 s after
+// the start came.
+func (e *executor) carryOutInLaterLife(call map[string]any, lives int) {
 	came := time.Now()
 	e.mu.Lock()
 	first := e.life
@@ -270,7 +270,7 @@
 	for time.Since(came) < 12*time.Second {
 		time.Sleep(time.Millisecond)
 		e.mu.Lock()
-		if e.up && e.life == first+2 && time.Since(e.born) >= lateInLife && time.Since(came) >= 2*time.Second {
+		if e.up && e.life == first+lives && time.Since(e.born) >= lateInLife && time.Since(came) >= 2*time.Second {
 			status, reason := e.order(names["start"], call)
 			e.deployment.record("executor %s carries out the late start of task %s run %d after %s: %d %s", e.id, text(call, "task"),
 				number(call, "runId"), time.Since(came).Round(time.Millisecond), status, reason)
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -33,6 +33,7 @@
 	"wide":    {48, 3, small, wide},
 	"long":    {12, 3, small, long},
 	"flap":    {48, 3, fleet, flap},
+	"again":   {48, 3, fleet, again},
 	"label":   {400, 5, large, label},
 }
 
@@ -451,18 +452,9 @@
 func flap(d *deployment, trouble bool) ([]string, bool) {
 	const id = "00000000000000f1"
 	task := id + ".0.0.0"
-	// Other tasks begin just before, so that the late order is one of 41. They last, one on an executor, and executors
-	// that have some are preferred.
-	others := map[string]any{"count": 40, "cpu": 5000, "memMb": 200, "longRunning": true, "antiAffinity": 1}
-	if !d.submit("00000000000000f2", "ms=0 cpu=5000", others) {
+	if !d.prepareLateStart(task, 2, trouble) {
 		return nil, false
 	}
-	time.Sleep(1500 * time.Millisecond)
-	if trouble {
-		d.mu.Lock()
-		d.lateStart = task
-		d.mu.Unlock()
-	}
 	if !d.submit(id, "ms=9000 cpu=2000", map[string]any{"count": 1, "cpu": 2000, "memMb": 200, "estimatedMs": 9000}) {
 		return nil, false
 	}
@@ -471,16 +463,7 @@
 		time.Sleep(12 * time.Second)
 		return nil, ran && d.state(id) == "succeeded"
 	}
-	var flapping *executor
-	for until := time.Now().Add(5 * time.Second); flapping == nil && time.Now().Before(until); time.Sleep(waitStep) {
-		for _, e := range d.executors {
-			e.mu.Lock()
-			if e.hasLateStart {
-				flapping = e
-			}
-			e.mu.Unlock()
-		}
-	}
+	flapping := d.lateStarter()
 	if flapping == nil {
 		return nil, false
 	}
@@ -504,3 +487,71 @@
 	time.Sleep(12 * time.Second)
 	return nil, true
 }
+
+// prepareLateStart has the first start of a task be carried out late, some lives of its executor later. Other tasks begin
+// just before, so that the late order is one of 41. They last, one on an executor, and executors that have some are
+// preferred.
+func (d *deployment) prepareLateStart(task string, lives int, trouble bool) bool {
+	others := map[string]any{"count": 40, "cpu": 5000, "memMb": 200, "longRunning": true, "antiAffinity": 1}
+	if !d.submit("00000000000000f2", "ms=0 cpu=5000", others) {
+		return false
+	}
+	time.Sleep(1500 * time.Millisecond)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if trouble {
+		d.lateStart, d.livesUntilStart = task, lives
+	}
+	return true
+}
+
+// lateStarter waits for the executor that has left a start unanswered, and returns it.
+func (d *deployment) lateStarter() *executor {
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(waitStep) {
+		for _, e := range d.executors {
+			e.mu.Lock()
+			found := e.hasLateStart
+			e.mu.Unlock()
+			if found {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+// again has one executor, which keeps its id, leave the start of a task unanswered and carry out its repetition. After
+// the task is done, the executor crashes. The first start is carried out as it comes back.
+func again(d *deployment, trouble bool) ([]string, bool) {
+	const id = "00000000000000f3"
+	task := id + ".0.0.0"
+	if !d.prepareLateStart(task, 1, trouble) {
+		return nil, false
+	}
+	if !d.submit(id, "ms=500 cpu=2000", map[string]any{"count": 1, "cpu": 2000, "memMb": 200, "estimatedMs": 500}) {
+		return nil, false
+	}
+	var starter *executor
+	if trouble {
+		if starter = d.lateStarter(); starter == nil {
+			return nil, false
+		}
+	}
+	for until := time.Now().Add(8 * time.Second); d.state(id) != "succeeded"; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(until) {
+			return nil, false
+		}
+	}
+	if !trouble {
+		time.Sleep(8 * time.Second)
+		return nil, true
+	}
+	time.Sleep(500 * time.Millisecond)
+	starter.crash()
+	time.Sleep(restartIn)
+	if starter.begin() != nil {
+		return nil, false
+	}
+	time.Sleep(12 * time.Second)
+	return nil, true
+}
