--- a/review/stand-3/executor.go
+++ b/review/stand-3/executor.go
@@ -54,24 +54,22 @@
 	hasLateStart bool
 	address      string
 
-	mu        sync.Mutex
-	life      int
-	id        string
-	up        bool
-	draining  bool
-	server    *http.Server
-	listener  *mutingListener
-	born      time.Time
-	runs      map[string]*taskRun
-	last      map[string]int
-	ends      []endedRun
-	serial    int
-	fence     int64
-	lease     int64
-	sequence  int
-	listed    bool
-	silentFor time.Time
-	changed   chan struct{}
+	mu       sync.Mutex
+	life     int
+	id       string
+	up       bool
+	draining bool
+	server   *http.Server
+	listener *mutingListener
+	born     time.Time
+	runs     map[string]*taskRun
+	last     map[string]int
+	ends     []endedRun
+	serial   int
+	fence    int64
+	lease    int64
+	sequence int
+	changed  chan struct{}
 }
 
 // begin starts a new life.
